--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/daemon/caller_api.cpp
@@ -0,0 +1,196 @@
+/// \file caller_api.cpp Look-ups and requests of callers.
+#include "daemon/caller_api_base.h"
+
+#include "core/result_func.h"
+#include "daemon/decision_log_func.h"
+#include "net/event_loop_base.h"
+#include "process/placement_func.h"
+#include "version/client_block_func.h"
+
+#include <absl/strings/numbers.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+using nlohmann::json;
+
+namespace cranberry {
+
+namespace {
+
+constexpr std::string_view CallPrefix = "/v1/call/";
+constexpr int64_t MaxDeadlineMs = 600000;
+
+/// Headers that end with a hop or that this system sets itself.
+constexpr const char *DroppedHeaders[] = {"connection",    "content-length",
+                                          "expect",        "host",
+                                          "keep-alive",    "te",
+                                          "trailer",       "transfer-encoding",
+                                          "upgrade",       "idempotency-key",
+                                          "x-deadline-ms", "x-request-id"};
+
+HttpHeaders keepRequestHeaders(const std::map<std::string, std::string> &All) {
+  HttpHeaders Kept;
+  for (const auto &Header : All)
+    if (std::find(std::begin(DroppedHeaders), std::end(DroppedHeaders),
+                  Header.first) == std::end(DroppedHeaders))
+      Kept.push_back(Header);
+  return Kept;
+}
+
+HttpHeaders makeOutcomeHeaders(ResultCode Code) {
+  return {{"X-Outcome", getName(getOutcome(Code))},
+          {"X-Result", std::to_string(static_cast<unsigned>(Code))}};
+}
+
+HttpResponse makeCallResponse(const CallReply &Reply, const std::string &Id,
+                              const std::string &Vm) {
+  HttpResponse Response;
+  if (Reply.Code_ != ResultCode::Ok) {
+    Response = makeErrorResponse({Reply.Code_, "", ""});
+  } else {
+    Response.Status_ = Reply.Answer_->Status_;
+    Response.Headers_ = Reply.Answer_->Headers_;
+    Response.Body_ = Reply.Answer_->Body_;
+    HttpHeaders Outcome = makeOutcomeHeaders(ResultCode::Ok);
+    Response.Headers_.insert(Response.Headers_.end(), Outcome.begin(),
+                             Outcome.end());
+    Response.Headers_.emplace_back("X-Served-By", Reply.ServedBy_);
+  }
+  Response.Headers_.emplace_back("X-Request-Id", Id);
+  Response.Headers_.emplace_back("X-Entry-Vm", Vm);
+  return Response;
+}
+
+/// Splits "/v1/call/<service>/<path>?<query>".
+bool splitTarget(const HttpRequest &Request, std::string &Service,
+                 std::string &Path) {
+  std::string_view Rest =
+      std::string_view(Request.RawPath_).substr(CallPrefix.size());
+  size_t Slash = Rest.find('/');
+  Service = Rest.substr(0, Slash);
+  Path = Slash == std::string_view::npos ? "/" : Rest.substr(Slash);
+  if (!Request.RawQuery_.empty())
+    Path += "?" + Request.RawQuery_;
+  return !Service.empty();
+}
+
+} // namespace
+
+HttpResponse makeErrorResponse(const Reason &Why) {
+  json Body{{"code", static_cast<unsigned>(Why.Code_)},
+            {"name", getName(Why.Code_)},
+            {"outcome", getName(getOutcome(Why.Code_))},
+            {"reason", Why.Text_.empty() ? getSummary(Why.Code_) : Why.Text_}};
+  if (!Why.Field_.empty())
+    Body["field"] = Why.Field_;
+  HttpResponse Response;
+  Response.Status_ = getHttpStatus(Why.Code_);
+  Response.Headers_ = makeOutcomeHeaders(Why.Code_);
+  Response.Headers_.emplace_back("Content-Type", "application/json");
+  // Field names come from outside, so bytes that are not UTF-8 are replaced.
+  Response.Body_ =
+      Body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+  return Response;
+}
+
+CallerApi::CallerApi(const Settings &Config, const SnapshotHolder &Control,
+                     Metrics &Counters, Submit Route)
+    : Settings_(Config), Control_(Control), Metrics_(Counters),
+      Submit_(std::move(Route)) {}
+
+std::string CallerApi::makeRequestId(const Snapshot &Now) {
+  return Settings_.Vm_ + "-" + std::to_string(Now.Self_.Incarnation_) + "-" +
+         std::to_string(NextId_++);
+}
+
+Duration CallerApi::getTtl() {
+  // Spread by up to a fifth, so that callers do not all ask again at once.
+  constexpr uint64_t Steps = 16;
+  return Settings_.LookupTtl_ -
+         Settings_.LookupTtl_ * (NextId_++ % Steps) / (5 * Steps);
+}
+
+void CallerApi::lookup(const HttpRequest &Request, const HttpRespond &Respond) {
+  SnapshotPtr Now = Control_.get();
+  const Configuration &Config = *Now->Config_;
+  const std::string &Service = Request.getQuery("service");
+  auto Refuse = [&](const Reason &Why) {
+    Metrics_.countLookup(Why.Code_);
+    Respond(makeErrorResponse(Why));
+  };
+  if (Request.Method_ != "GET")
+    return Refuse({ResultCode::MethodUnsupported, "", ""});
+  if (!Now->Ready_)
+    return Refuse({ResultCode::NotReady, "", ""});
+  if (!Config.findService(Service))
+    return Refuse({ResultCode::ServiceUnknown, "service", ""});
+  std::optional<uint32_t> Client = parseIpv4(Request.getQuery("client"));
+  if (!Client)
+    return Refuse({ResultCode::ClientAddressInvalid, "client", ""});
+  ZoneIndex Zone = Config.Blocks_.findZone(*Client);
+  std::string Home =
+      Zone.isValid() ? Config.Zones_[Zone.get()].Name_ : Settings_.Zone_;
+  std::vector<LookupEntry> Entries = orderEntryVms(Config, Now->Members_, Home);
+  if (Entries.empty())
+    return Refuse({ResultCode::NoEntryVm, "", ""});
+  json List = json::array();
+  for (const LookupEntry &Entry : Entries) {
+    const Member &M = *Entry.Member_;
+    List.push_back({{"vm", M.Vm_},
+                    {"address", M.HttpAddress_},
+                    {"region", M.Region_},
+                    {"zone", M.Zone_},
+                    {"weight", Entry.Weight_},
+                    {"incarnation", M.Incarnation_},
+                    {"keyPrefix", M.Vm_ + "/" + std::to_string(M.Incarnation_) +
+                                      "/" + std::to_string(M.KeyEpoch_)}});
+  }
+  json Body{{"service", Service},
+            {"version", Config.Revision_},
+            {"zone", Home},
+            {"ttlMs", toMilliseconds(getTtl())},
+            {"entryVms", List}};
+  logDecision("lookup", Request.getQuery("client"), Service,
+              Entries.front().Member_->Vm_,
+              Zone.isValid() ? "client block of zone " + Home
+                             : "no client block; own zone",
+              Config.Revision_);
+  Metrics_.countLookup(ResultCode::Ok);
+  Respond({200, {{"Content-Type", "application/json"}}, Body.dump() + "\n"});
+}
+
+void CallerApi::call(HttpRequest Request, HttpRespond Respond) {
+  SnapshotPtr Now = Control_.get();
+  CallSpec Call;
+  Call.RequestId_ = makeRequestId(*Now);
+  Call.Arrived_ = EventLoop::now();
+  if (!Now->Ready_)
+    return Respond(makeErrorResponse({ResultCode::NotReady, "", ""}));
+  if (Request.IsTooLarge_)
+    return Respond(
+        makeErrorResponse({ResultCode::RequestTooLarge, "body", ""}));
+  if (!splitTarget(Request, Call.Service_, Call.Path_))
+    return Respond(makeErrorResponse({ResultCode::ServiceUnknown, "", ""}));
+  if (const std::string &Text = Request.getHeader("x-deadline-ms");
+      !Text.empty()) {
+    int64_t Value = 0;
+    if (!absl::SimpleAtoi(Text, &Value) || Value <= 0 || Value > MaxDeadlineMs)
+      return Respond(makeErrorResponse(
+          {ResultCode::DeadlineInvalid, "X-Deadline-Ms", ""}));
+    Call.Timeout_ = milliseconds(Value);
+  }
+  Call.Method_ = Request.Method_;
+  Call.Key_ = Request.getHeader("idempotency-key");
+  Call.Headers_ = keepRequestHeaders(Request.Headers_);
+  Call.Body_ = std::move(Request.Body_);
+  std::string Id = Call.RequestId_;
+  Submit_(std::move(Call),
+          [Id, Vm = Settings_.Vm_,
+           Respond = std::move(Respond)](const CallReply &Reply) {
+            Respond(makeCallResponse(Reply, Id, Vm));
+          });
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/daemon/control_thread.cpp
@@ -0,0 +1,356 @@
+/// \file control_thread.cpp Owns membership, configuration and drain.
+#include "daemon/control_thread_base.h"
+
+#include "core/result_func.h"
+#include "daemon/decision_log_func.h"
+#include "daemon/wire_func.h"
+#include "version/configuration_func.h"
+#include "version/object_func.h"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+using nlohmann::json;
+
+namespace cranberry {
+
+namespace {
+
+constexpr Duration HeartbeatTimeout = seconds(1);
+constexpr Duration PullTimeout = seconds(5);
+constexpr Duration WatchWait = seconds(5);
+constexpr Duration RetryPause = seconds(1);
+constexpr Duration VmListPeriod = seconds(2);
+constexpr Duration StatusPeriod = seconds(5);
+
+bool isConfigurationChange(const ObjectChanges &Changes) {
+  return std::any_of(
+      Changes.Objects_.begin(), Changes.Objects_.end(),
+      [](const Object &O) { return O.Id_.Kind_ != ObjectKind::Status; });
+}
+
+} // namespace
+
+ControlThread::ControlThread(const Settings &Config, const Member &Self,
+                             PeerClient &Peers, Metrics &Counters,
+                             Publish OnChange)
+    : Settings_(Config), Peers_(Peers), Metrics_(Counters),
+      Publish_(std::move(OnChange)),
+      Platform_(Loop_, Counters, Config.Platform_,
+                Self.Vm_ + "-" + std::to_string(Self.Incarnation_)),
+      Membership_(Self, Config.Peers_, Self.Incarnation_) {}
+
+ControlThread::~ControlThread() { stop(); }
+
+void ControlThread::start() {
+  Time Now = EventLoop::now();
+  Membership_.setKeyEpoch(1);
+  Loop_.addTimer(Now, [this] { beat(); });
+  Loop_.addTimer(Now, [this] { watchPlatform(); });
+  Loop_.addTimer(Now, [this] { pollVms(); });
+  Loop_.addTimer(Now + StatusPeriod, [this] { writeStatus(); });
+  Loop_.addTimer(Now + Settings_.KeyEpochLength_,
+                 [this] { advanceKeyEpoch(); });
+  Thread_ = std::thread([this] { Loop_.run(); });
+}
+
+void ControlThread::stop() {
+  Loop_.stop();
+  if (Thread_.joinable())
+    Thread_.join();
+}
+
+void ControlThread::advanceKeyEpoch() {
+  Membership_.setKeyEpoch(Membership_.getSelf().KeyEpoch_ + 1);
+  publish();
+  Loop_.addTimer(EventLoop::now() + Settings_.KeyEpochLength_,
+                 [this] { advanceKeyEpoch(); });
+}
+
+void ControlThread::beat() {
+  Time Now = EventLoop::now();
+  for (const std::string &Address : Membership_.getTargets(Now))
+    sendHeartbeat(Address);
+  if (Membership_.takeChanged())
+    publish();
+  answerWatchers();
+  Loop_.addTimer(Now + Settings_.HeartbeatPeriod_, [this] { beat(); });
+}
+
+void ControlThread::sendHeartbeat(const std::string &Address) {
+  wire::Heartbeat Body = writeHeartbeat(Membership_.makeHeartbeat(Address));
+  Peers_.exchange(Address, std::move(Body), HeartbeatTimeout,
+                  [this, Address](std::optional<wire::Heartbeat> Reply) {
+                    Loop_.post([this, Address, Reply = std::move(Reply)] {
+                      Time Now = EventLoop::now();
+                      if (!Reply) {
+                        Membership_.noteFailure(Address, Now);
+                      } else {
+                        HeartbeatBody Answer = readHeartbeat(*Reply);
+                        Membership_.receiveAnswer(Answer, Now);
+                        learnFrom(Answer.Sender_);
+                      }
+                      if (Membership_.takeChanged())
+                        publish();
+                    });
+                  });
+}
+
+void ControlThread::receiveHeartbeat(const wire::Heartbeat &Body,
+                                     PeerRespond<wire::Heartbeat> Respond) {
+  Loop_.post([this, Body, Respond = std::move(Respond)] {
+    HeartbeatBody In = readHeartbeat(Body);
+    Respond(writeHeartbeat(Membership_.receiveHeartbeat(In, EventLoop::now())));
+    learnFrom(In.Sender_);
+    if (Membership_.takeChanged())
+      publish();
+  });
+}
+
+void ControlThread::learnFrom(const Member &Peer) {
+  if (Peer.Revision_ > Store_.getRevision())
+    pullChanges(Peer.PeerAddress_);
+}
+
+void ControlThread::pullChanges(const std::string &Address) {
+  if (Pulling_)
+    return;
+  Pulling_ = true;
+  wire::ChangesRequest Body;
+  Body.set_since(Store_.getRevision());
+  Peers_.getChanges(Address, std::move(Body), PullTimeout,
+                    [this](std::optional<wire::ChangesReply> Reply) {
+                      Loop_.post([this, Reply = std::move(Reply)] {
+                        Pulling_ = false;
+                        if (Reply)
+                          applyChanges(cranberry::readChanges(*Reply));
+                      });
+                    });
+}
+
+void ControlThread::getChanges(const wire::ChangesRequest &Body,
+                               PeerRespond<wire::ChangesReply> Respond) {
+  Loop_.post([this, Since = Body.since(), Respond = std::move(Respond)] {
+    Respond(writeChanges(Store_.getChangesSince(Since)));
+  });
+}
+
+bool ControlThread::isZoneWatcher(const char *Duty) const {
+  std::vector<std::string> Names;
+  for (const Member &M : Membership_.getMembers())
+    if (M.Zone_ == Settings_.Zone_ && M.State_ == MemberState::Alive)
+      Names.push_back(M.Vm_);
+  std::optional<size_t> Chosen = pickOwner(Names, Settings_.Zone_ + Duty);
+  return Chosen && Names[*Chosen] == Settings_.Vm_;
+}
+
+void ControlThread::watchPlatform() {
+  auto Again = [this](Duration Pause) {
+    Loop_.addTimer(EventLoop::now() + Pause, [this] { watchPlatform(); });
+  };
+  if (Ready_ && !isZoneWatcher("/watch"))
+    return Again(RetryPause);
+  Duration Wait = Ready_ ? WatchWait : Duration::zero();
+  Platform_.readChanges(Store_.getRevision(), Wait,
+                        [this, Again](std::optional<ObjectChanges> Changes) {
+                          if (!Changes)
+                            return Again(RetryPause);
+                          applyChanges(*Changes);
+                          Again(Duration::zero());
+                        });
+}
+
+void ControlThread::pollVms() {
+  auto Again = [this] {
+    Loop_.addTimer(EventLoop::now() + VmListPeriod, [this] { pollVms(); });
+  };
+  bool IsAlone = Membership_.getMembers().size() == 1;
+  if (!IsAlone && !isZoneWatcher("/vms"))
+    return Again();
+  Platform_.readVms([this, Again](std::optional<std::vector<ListedVm>> Vms) {
+    Again();
+    if (!Vms)
+      return;
+    std::set<std::string> Leaving;
+    for (const ListedVm &Listed : *Vms) {
+      if (Listed.IsEntryVm_ && !Listed.IsLeaving_)
+        Membership_.addSeed(Listed.Address_);
+      if (!Listed.IsEntryVm_ && Listed.IsLeaving_)
+        Leaving.insert(Listed.Address_);
+    }
+    if (Leaving == LeavingServers_)
+      return;
+    for (const std::string &Server : Leaving)
+      logDecision("drain", Server, "-", "no new work", "platform's list of VMs",
+                  Config_->Revision_);
+    LeavingServers_ = std::move(Leaving);
+    publish();
+  });
+}
+
+void ControlThread::applyChanges(const ObjectChanges &Changes) {
+  Revision Before = Store_.getRevision();
+  bool Moved = Store_.apply(Changes);
+  bool IsFirst = !Ready_;
+  Ready_ = true;
+  if (!Moved && !IsFirst)
+    return;
+  if (isConfigurationChange(Changes) || IsFirst) {
+    Config_ = buildConfiguration(Store_);
+    LOG(INFO) << "configuration version=" << Config_->Revision_
+              << " before=" << Before << " objects=" << Changes.Objects_.size()
+              << " ignored=" << Config_->Ignored_.size();
+    for (const IgnoredObject &Ignored : Config_->Ignored_)
+      LOG(WARNING) << "ignored " << getName(Ignored.Id_.Kind_) << "/"
+                   << Ignored.Id_.Name_ << ": " << Ignored.Why_;
+  }
+  Membership_.setRevision(Store_.getRevision());
+  publish();
+  answerWatchers();
+}
+
+void ControlThread::publish() {
+  auto Next = std::make_shared<Snapshot>();
+  Next->Config_ = Config_;
+  Next->Members_ = Membership_.getMembers();
+  Next->Self_ = Membership_.getSelf();
+  Next->LeavingServers_ = LeavingServers_;
+  Next->Ready_ = Ready_;
+  Publish_(std::move(Next));
+}
+
+void ControlThread::answerWatchers() {
+  Time Now = EventLoop::now();
+  std::vector<Watcher> Open;
+  Open.swap(Watchers_);
+  for (Watcher &Each : Open)
+    if (Store_.getRevision() > Each.Since_ || Now >= Each.Until_)
+      Each.Read_(Store_);
+    else
+      Watchers_.push_back(std::move(Each));
+}
+
+void ControlThread::watchObjects(
+    Revision Since, Time Until, std::function<void(const ObjectStore &)> Read) {
+  Loop_.post([this, Since, Until, Read = std::move(Read)]() mutable {
+    Watchers_.push_back({Since, Until, std::move(Read)});
+    answerWatchers();
+  });
+}
+
+void ControlThread::readObjects(std::function<void(const ObjectStore &)> Read) {
+  Loop_.post([this, Read = std::move(Read)] { Read(Store_); });
+}
+
+bool ControlThread::checkWrite(const ObjectId &Id, const std::string &Body,
+                               Reason &Why) {
+  Why = {};
+  auto Exists = [this](const ObjectId &Target) {
+    return Store_.find(Target) != nullptr;
+  };
+  if (!Body.empty())
+    return parseObject(Id, Body, Exists, Why).has_value();
+  if (!Exists(Id)) {
+    Why = {ResultCode::ObjectNotFound, "", ""};
+    return false;
+  }
+  for (const auto &[Other, Known] : Store_.getObjects()) {
+    if (Known.Deleted_ || Other.Kind_ == ObjectKind::Status)
+      continue;
+    std::vector<ObjectId> Targets =
+        getReferences(Other.Kind_, json::parse(Known.Body_, nullptr, false));
+    if (std::find(Targets.begin(), Targets.end(), Id) == Targets.end())
+      continue;
+    Why = {ResultCode::ObjectStillReferenced, "",
+           std::string("by ") + getName(Other.Kind_) + "/" + Other.Name_};
+    return false;
+  }
+  return true;
+}
+
+void ControlThread::validateObject(ObjectId Id, std::string Body,
+                                   std::function<void(Reason)> Done) {
+  Loop_.post([this, Id = std::move(Id), Body = std::move(Body),
+              Done = std::move(Done)] {
+    Reason Why;
+    checkWrite(Id, Body, Why);
+    Done(Why);
+  });
+}
+
+void ControlThread::writeObject(ObjectId Id, std::string Body,
+                                std::optional<Expected> Before,
+                                PlatformClient::Written Done) {
+  Loop_.post([this, Id = std::move(Id), Body = std::move(Body),
+              Before = std::move(Before), Done = std::move(Done)] {
+    // References are checked against the newest objects, not against ours.
+    Platform_.readChanges(
+        Store_.getRevision(), Duration::zero(),
+        [this, Id, Body, Before, Done](std::optional<ObjectChanges> Changes) {
+          if (!Changes)
+            return Done({{ResultCode::PlatformUnreachable, "", ""}, 0});
+          applyChanges(*Changes);
+          Reason Why;
+          if (!checkWrite(Id, Body, Why))
+            return Done({Why, 0});
+          commitWrite(Id, Body, Before, Done);
+        });
+  });
+}
+
+void ControlThread::commitWrite(const ObjectId &Id, const std::string &Body,
+                                std::optional<Expected> Before,
+                                const PlatformClient::Written &Done) {
+  const Object *Known = Store_.find(Id);
+  Expected Current = Known ? Expected(Known->Revision_) : std::nullopt;
+  Platform_.write(
+      Id, Body, Before.value_or(Current),
+      [this, Id, Done](const WriteResult &Result) {
+        LOG(INFO) << "write object=" << getName(Id.Kind_) << "/" << Id.Name_
+                  << " result=\"" << formatReason(Result.Why_)
+                  << "\" version=" << Result.Revision_;
+        Done(Result);
+        Platform_.readChanges(Store_.getRevision(), Duration::zero(),
+                              [this](std::optional<ObjectChanges> Changes) {
+                                if (Changes)
+                                  applyChanges(*Changes);
+                              });
+      });
+}
+
+void ControlThread::writeStatus() {
+  Loop_.addTimer(EventLoop::now() + StatusPeriod, [this] { writeStatus(); });
+  if (!Ready_ || !isZoneWatcher("/status"))
+    return;
+  json Vms = json::object();
+  for (const Member &M : Membership_.getMembers())
+    if (M.Zone_ == Settings_.Zone_)
+      Vms[M.Vm_] = {{"state", MemberStateNames[static_cast<size_t>(M.State_)]},
+                    {"version", M.Revision_}};
+  json Body{{"zone", Settings_.Zone_},
+            {"version", Config_->Revision_},
+            {"writer", Settings_.Vm_},
+            {"ignored", Config_->Ignored_.size()},
+            {"entryVms", Vms}};
+  Expected Before = StatusRevision_ ? Expected(StatusRevision_) : std::nullopt;
+  Platform_.write({ObjectKind::Status, Settings_.Zone_}, Body.dump(), Before,
+                  [this](const WriteResult &Result) {
+                    // After a lost race the next write starts from the winner.
+                    StatusRevision_ = Result.Revision_;
+                  });
+}
+
+void ControlThread::leave() {
+  Loop_.post([this] {
+    Membership_.leave();
+    publish();
+    // Everyone is told at once; a planned stop is rare.
+    for (const Member &M : Membership_.getMembers())
+      if (M.Vm_ != Settings_.Vm_)
+        sendHeartbeat(M.PeerAddress_);
+  });
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,96 @@
+/// \file main.cpp Command line of the daemon.
+#include "core/result_func.h"
+#include "daemon/daemon_base.h"
+#include "daemon/settings_func.h"
+
+#include <boost/program_options.hpp>
+#include <glog/logging.h>
+
+#include <chrono>
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+constexpr const char *Version = "0.1.0";
+constexpr int ExitSettings = 2;
+constexpr int ExitDirtyDrain = 3;
+
+int fail(const cranberry::Reason &Why) {
+  std::cerr << "cranberryd: " << cranberry::formatReason(Why) << "\n";
+  return ExitSettings;
+}
+
+/// Grows from start to start, as long as the VM's clock does not go back by
+/// more than the time between two starts.
+uint64_t makeIncarnation() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+int serve(const cranberry::Settings &Settings) {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  // Blocked before any thread starts, so that all threads inherit it.
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  cranberry::Daemon Process(Settings, makeIncarnation());
+  cranberry::Reason Why;
+  if (!Process.start(Why))
+    return fail(Why);
+  std::cout << "ready vm=" << Settings.Vm_
+            << " http=" << Process.getHttpAddress()
+            << " peer=" << Process.getPeerAddress() << std::endl;
+  int Signal = 0;
+  sigwait(&Signals, &Signal);
+  bool IsClean = Process.drain();
+  google::FlushLogFiles(google::INFO);
+  return IsClean ? 0 : ExitDirtyDrain;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  namespace po = boost::program_options;
+  po::options_description Flags("cranberryd: entry VM of cranberrypost");
+  // clang-format off
+  Flags.add_options()
+      ("settings", po::value<std::string>(), "settings file, JSON")
+      ("check", "check the settings and exit")
+      ("version", "print the version and exit")
+      ("help", "print this and exit");
+  // clang-format on
+  po::variables_map Given;
+  try {
+    po::store(po::parse_command_line(Argc, Argv, Flags), Given);
+  } catch (const po::error &Error) {
+    return fail({cranberry::ResultCode::FlagInvalid, "", Error.what()});
+  }
+  if (Given.count("help")) {
+    std::cout << Flags;
+    return 0;
+  }
+  if (Given.count("version")) {
+    std::cout << "cranberryd " << Version << "\n";
+    return 0;
+  }
+  if (!Given.count("settings"))
+    return fail({cranberry::ResultCode::FlagInvalid, "--settings",
+                 "a settings file is needed"});
+  cranberry::Reason Why;
+  std::optional<cranberry::Settings> Settings =
+      cranberry::readSettings(Given["settings"].as<std::string>(), Why);
+  if (!Settings)
+    return fail(Why);
+  if (Given.count("check")) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(Argv[0]);
+  return serve(*Settings);
+}
--- /dev/null
+++ b/src/daemon/operator_api_base.h
@@ -0,0 +1,53 @@
+/// \file operator_api_base.h Resource API, status and probes for operators.
+#ifndef CRANBERRY_DAEMON_OPERATOR_API_BASE_H
+#define CRANBERRY_DAEMON_OPERATOR_API_BASE_H
+
+#include "daemon/control_thread_base.h"
+#include "daemon/metrics_base.h"
+#include "daemon/settings_type.h"
+#include "daemon/snapshot_type.h"
+#include "daemon/traffic_thread_base.h"
+#include "net/http_type.h"
+
+#include <memory>
+#include <vector>
+
+namespace cranberry {
+
+/// Answers everything on the HTTP port that is not for callers.
+class OperatorApi {
+public:
+  using TrafficThreads = std::vector<std::unique_ptr<TrafficThread>>;
+
+  OperatorApi(const Settings &Config, const SnapshotHolder &Holder,
+              ControlThread &Control, TrafficThreads &Traffic,
+              Metrics &Counters);
+
+  void handle(HttpRequest Request, HttpRespond Respond);
+
+private:
+  void handleObjects(HttpRequest Request, HttpRespond Respond);
+  void listObjects(ObjectKind Kind, HttpRespond Respond);
+  void getObject(ObjectId Id, HttpRespond Respond);
+  void putObject(ObjectId Id, const HttpRequest &Request, HttpRespond Respond);
+  void watch(const HttpRequest &Request, HttpRespond Respond);
+  void status(HttpRespond Respond);
+  void explain(const HttpRequest &Request, const HttpRespond &Respond);
+  void metrics(HttpRespond Respond);
+  void liveness(const HttpRespond &Respond);
+  void readiness(const HttpRespond &Respond);
+
+  /// Figures of all services, by name.
+  using AllStats = std::map<std::string, ServiceStats>;
+  void collectStats(std::function<void(const AllStats &)> Done);
+
+  const Settings &Settings_;     ///< Settings.
+  const SnapshotHolder &Holder_; ///< Newest control state.
+  ControlThread &Control_;       ///< Control thread.
+  TrafficThreads &Traffic_;      ///< Traffic threads.
+  Metrics &Metrics_;             ///< Counters.
+};
+
+} // namespace cranberry
+
+#endif
--- /dev/null
+++ b/src/daemon/service_traffic.cpp
@@ -0,0 +1,590 @@
+/// \file service_traffic.cpp Carries out the decisions of one service.
+#include "daemon/service_traffic_base.h"
+
+#include "core/result_func.h"
+#include "daemon/decision_log_func.h"
+#include "daemon/wire_func.h"
+#include "process/placement_func.h"
+
+#include <absl/hash/hash.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace cranberry {
+
+namespace {
+
+constexpr unsigned ProbeFailuresToDown = 2;
+constexpr Duration ProbeTimeout = milliseconds(800);
+constexpr Duration MaxAskWait = seconds(1);
+constexpr Duration ReleaseTimeout = seconds(1);
+/// How long an attempt that may not be repeated is waited for after its
+/// caller's deadline, so that a repeated key can still get the answer.
+constexpr Duration LateAnswerWait = seconds(20);
+
+uint64_t getFingerprint(const CallSpec &Call) {
+  return absl::HashOf(Call.Method_, Call.Path_, Call.Body_);
+}
+
+size_t getSize(const CallSpec &Call) {
+  constexpr size_t Overhead = 512; ///< Headers and framing.
+  return Call.Body_.size() + Call.Path_.size() + Overhead;
+}
+
+} // namespace
+
+ServiceTraffic::ServiceTraffic(std::string Name, TrafficContext &Context)
+    : Name_(std::move(Name)), Context_(Context),
+      Dispatcher_(DispatcherLimits{}),
+      Keys_(Context.Settings_->Vm_, Context.Snapshot_->Self_.Incarnation_,
+            Context.Settings_->MaxKeys_,
+            static_cast<size_t>(Context.Settings_->MaxAnswerMb_) << 20) {}
+
+void ServiceTraffic::refresh() {
+  const Snapshot &Now = *Context_.Snapshot_;
+  const Configuration &Config = *Now.Config_;
+  Keys_.setEpoch(Now.Self_.KeyEpoch_);
+  std::vector<ServerSpec> Specs;
+  std::vector<PeerSpec> Peers;
+  unsigned OwnedSlots = 0;
+  Owned_.clear();
+  for (const ServerOwner &Owner :
+       getServerOwners(Config, Now.Members_, Name_)) {
+    if (Owner.Vm_ == Now.Self_.Vm_) {
+      bool IsDraining = Config.DrainedServers_.contains(Owner.Server_) ||
+                        Now.LeavingServers_.contains(Owner.Server_);
+      Specs.push_back({Owner.Server_, Owner.Slots_, IsDraining});
+      Owned_.push_back(Owner.Server_);
+      OwnedSlots += Owner.Slots_;
+      continue;
+    }
+    const Member *Peer = Now.findMember(Owner.Vm_);
+    bool IsKnown =
+        std::any_of(Peers.begin(), Peers.end(),
+                    [&](const PeerSpec &P) { return P.Vm_ == Owner.Vm_; });
+    if (!Peer || IsKnown)
+      continue;
+    PeerTier Tier = PeerTier::OtherRegion;
+    if (Peer->Region_ == Now.Self_.Region_)
+      Tier = Peer->Zone_ == Now.Self_.Zone_ ? PeerTier::SameZone
+                                            : PeerTier::SameRegion;
+    Peers.push_back({Owner.Vm_, Tier,
+                     getLatency(Config, Now.Self_.Region_, Peer->Region_)});
+  }
+  DispatcherLimits Limits;
+  if (const ServiceConfig *Service = Config.findService(Name_))
+    Limits.MaxQueue_ = Service->MaxQueue_;
+  if (const RegionConfig *Region = Config.findRegion(Now.Self_.Region_))
+    Limits.Headroom_ = Region->Headroom_;
+  if (const LimitConfig *Limit = Config.findLimit(Now.Self_.Region_, Name_)) {
+    unsigned All = std::max(1U, Config.getSlotCount(Name_, Now.Self_.Region_));
+    Limits.MaxConcurrent_ = static_cast<unsigned>(
+        static_cast<uint64_t>(Limit->MaxConcurrent_) * OwnedSlots / All);
+  }
+  Dispatcher_.setLimits(Limits);
+  Dispatcher_.setPeers(std::move(Peers));
+  Dispatcher_.setServers(Specs, EventLoop::now());
+  perform();
+}
+
+bool ServiceTraffic::isRepeatable(const std::string &Method) const {
+  const ServiceConfig *Service =
+      Context_.Snapshot_->Config_->findService(Name_);
+  return Service && Service->RepeatableMethods_.contains(Method);
+}
+
+Duration ServiceTraffic::getTimeout(const CallSpec &Call) const {
+  if (Call.Timeout_ > Duration::zero())
+    return Call.Timeout_;
+  const ServiceConfig *Service =
+      Context_.Snapshot_->Config_->findService(Name_);
+  return Service ? Service->Deadline_ : ServiceConfig().Deadline_;
+}
+
+void ServiceTraffic::submit(CallSpec Call, CallEnd End) {
+  Call.Timeout_ = getTimeout(Call);
+  if (!Context_.Snapshot_->Config_->findService(Name_))
+    return End({ResultCode::ServiceUnknown, nullptr, ""});
+  bool NeedsKey =
+      !isRepeatable(Call.Method_) && Call.Origin_ != CallOrigin::PeerSlot;
+  if (!NeedsKey)
+    return startCall(std::move(Call), std::move(End), std::nullopt);
+  if (Call.Key_.empty())
+    return End({ResultCode::KeyRequired, nullptr, ""});
+  submitKeyed(std::move(Call), std::move(End));
+}
+
+void ServiceTraffic::submitKeyed(CallSpec Call, CallEnd End) {
+  std::optional<IdempotencyKey> Key = parseIdempotencyKey(Call.Key_);
+  if (!Key)
+    return End({ResultCode::KeyMalformed, nullptr, ""});
+  if (Key->Vm_ != Context_.Settings_->Vm_)
+    return passHome(*Key, std::move(Call), std::move(End));
+  KeyState State = Keys_.begin(*Key, getFingerprint(Call));
+  logDecision("key", Call.RequestId_, Name_,
+              State.index() == 0   ? "start"
+              : State.index() == 1 ? "wait"
+              : State.index() == 2 ? "recorded answer"
+                                   : "refuse",
+              Call.Key_, Context_.Snapshot_->Config_->Revision_);
+  if (std::holds_alternative<KeyIsNew>(State))
+    return startCall(std::move(Call), std::move(End), Key);
+  if (const auto *Done = std::get_if<KeyIsDone>(&State))
+    return End({ResultCode::Ok, Done->Answer_, "recorded"});
+  if (const auto *Refused = std::get_if<KeyIsRefused>(&State))
+    return End({Refused->Code_, nullptr, ""});
+  auto Running = KeyedCalls_.find(Call.Key_);
+  OpenCall &Open = Calls_.at(Running->second);
+  Open.Ends_.push_back(std::move(End));
+  Open.Deadlines_.push_back(EventLoop::now() + Call.Timeout_);
+  scheduleWake();
+}
+
+void ServiceTraffic::passHome(const IdempotencyKey &Key, CallSpec Call,
+                              CallEnd End) {
+  const Member *Home = Context_.Snapshot_->findMember(Key.Vm_);
+  bool IsReachable = Call.Origin_ == CallOrigin::Caller && Home &&
+                     Context_.Peers_->isConnected(Home->PeerAddress_);
+  logDecision("home", Call.RequestId_, Name_, Key.Vm_,
+              IsReachable ? "key's home" : "home can't be reached",
+              Context_.Snapshot_->Config_->Revision_);
+  if (!IsReachable)
+    return End({ResultCode::KeyHomeUnreachable, nullptr, ""});
+  LinkBudget *Link = findLink(Home->Region_);
+  if (Link && !Link->trySend(getSize(Call), EventLoop::now()))
+    return End({ResultCode::KeyHomeUnreachable, nullptr, ""});
+  wire::ForwardRequest Body = makeForward(Call, Call.Timeout_);
+  Body.set_to_home(true);
+  std::string Id = Call.RequestId_;
+  Context_.Peers_->forward(
+      Home->PeerAddress_, std::move(Body), Call.Timeout_,
+      [Loop = Context_.Loop_, Id,
+       End](std::optional<wire::ForwardReply> Reply) {
+        CallReply Result{ResultCode::KeyHomeUnreachable, nullptr, ""};
+        if (Reply)
+          Result = readForwardReply(*Reply, Id);
+        Loop->post([End, Result] { End(Result); });
+      });
+}
+
+void ServiceTraffic::startCall(CallSpec Call, CallEnd End,
+                               std::optional<IdempotencyKey> Key) {
+  Time Now = EventLoop::now();
+  RequestTraits Traits;
+  Traits.Route_ = makeRoute(Call.Method_, Call.Path_);
+  Traits.Arrived_ = Call.Arrived_;
+  Traits.Deadline_ = Call.Arrived_ + Call.Timeout_;
+  Traits.Repeatable_ = isRepeatable(Call.Method_);
+  if (Call.Origin_ == CallOrigin::PeerSlot)
+    Traits.Grant_ = GrantIndex(Call.Grant_);
+  OpenCall Open;
+  Open.Ends_.push_back(std::move(End));
+  Open.Deadlines_.push_back(Traits.Deadline_);
+  Open.Key_ = std::move(Key);
+  Open.Call_ = std::move(Call);
+  RequestIndex Request = Dispatcher_.addRequest(std::move(Traits), Now);
+  if (Open.Key_)
+    KeyedCalls_[Open.Call_.Key_] = Request;
+  Calls_.emplace(Request, std::move(Open));
+  perform();
+}
+
+void ServiceTraffic::endCall(OpenCall &Call, const CallReply &Reply) {
+  Duration Taken = EventLoop::now() - Call.Call_.Arrived_;
+  bool IsFar = !Call.Call_.SenderRegion_.empty() &&
+               Call.Call_.SenderRegion_ != Context_.Settings_->Region_;
+  for (const CallEnd &End : Call.Ends_) {
+    Context_.Metrics_->countRequest(Name_, Reply.Code_);
+    Context_.Metrics_->observeLatency(Name_, Taken);
+    if (IsFar && Reply.Answer_)
+      sendOverLink(Call.Call_.SenderRegion_, Reply.Answer_->Body_.size(),
+                   [End, Reply] { End(Reply); });
+    else
+      End(Reply);
+  }
+  Call.Ends_.clear();
+  Call.Deadlines_.clear();
+}
+
+void ServiceTraffic::settleKey(const IdempotencyKey &Key,
+                               const CallReply &Reply) {
+  switch (getOutcome(Reply.Code_)) {
+  case Outcome::Answered:
+    return Keys_.record(Key, Reply.Answer_);
+  case Outcome::NotRun:
+    return Keys_.forget(Key);
+  case Outcome::Unknown:
+    return Keys_.recordUnknown(Key, Reply.Code_);
+  }
+}
+
+void ServiceTraffic::expireWaiters(Time Now) {
+  for (auto &[Request, Open] : Calls_)
+    for (size_t I = Open.Ends_.size(); I-- > 0;) {
+      // The first waiter's deadline is the dispatcher's; the rest are ours.
+      if (Now < Open.Deadlines_[I] + milliseconds(1))
+        continue;
+      CallEnd End = std::move(Open.Ends_[I]);
+      Open.Ends_.erase(Open.Ends_.begin() + static_cast<std::ptrdiff_t>(I));
+      Open.Deadlines_.erase(Open.Deadlines_.begin() +
+                            static_cast<std::ptrdiff_t>(I));
+      Context_.Metrics_->countRequest(Name_, ResultCode::DeadlineAfterStart);
+      End({ResultCode::DeadlineAfterStart, nullptr, ""});
+    }
+}
+
+void ServiceTraffic::perform() {
+  for (Actions Taken = Dispatcher_.takeActions(); !Taken.empty();
+       Taken = Dispatcher_.takeActions())
+    for (const Action &Next : Taken)
+      std::visit([this](const auto &Step) { run(Step); }, Next);
+  scheduleWake();
+}
+
+void ServiceTraffic::tick() {
+  Time Now = EventLoop::now();
+  Dispatcher_.tick(Now);
+  perform();
+  expireWaiters(Now);
+}
+
+void ServiceTraffic::scheduleWake() {
+  Time Now = EventLoop::now();
+  std::optional<Time> Next = Dispatcher_.getNextWake(Now);
+  for (const auto &[Key, Request] : KeyedCalls_)
+    if (auto Open = Calls_.find(Request); Open != Calls_.end())
+      for (Time Deadline : Open->second.Deadlines_)
+        Next = std::min(Next.value_or(Time::max()), Deadline + milliseconds(1));
+  if (!Next)
+    return;
+  Time At = std::max(*Next, Now + milliseconds(1));
+  if (NextWake_ > Now && NextWake_ <= At)
+    return;
+  NextWake_ = At;
+  Context_.Loop_->addTimer(At, [this, At] {
+    if (NextWake_ == At)
+      NextWake_ = Time::max();
+    tick();
+  });
+}
+
+HttpCall ServiceTraffic::makeServerCall(const OpenCall &Open,
+                                        const std::string &Server,
+                                        const std::string &AttemptId) const {
+  const CallSpec &Call = Open.Call_;
+  bool Repeatable = isRepeatable(Call.Method_);
+  Duration Left = Call.Arrived_ + Call.Timeout_ - EventLoop::now();
+  HttpCall Out;
+  Out.Method_ = Call.Method_;
+  Out.Url_ = "http://" + Server + Call.Path_;
+  Out.Headers_ = Call.Headers_;
+  Out.Headers_.emplace_back("X-Request-Id", AttemptId);
+  Out.Headers_.emplace_back("X-Deadline-Ms",
+                            std::to_string(toMilliseconds(Left)));
+  if (!Call.Key_.empty())
+    Out.Headers_.emplace_back("Idempotency-Key", Call.Key_);
+  Out.Body_ = Call.Body_;
+  Out.Timeout_ = Repeatable ? Left : Left + LateAnswerWait;
+  Out.FreshConnection_ = !Repeatable;
+  return Out;
+}
+
+void ServiceTraffic::run(const StartServerAttempt &Start) {
+  OpenCall &Open = Calls_.at(Start.Request_);
+  if (!Open.Started_)
+    Context_.Metrics_->observeQueueing(Name_,
+                                       EventLoop::now() - Open.Call_.Arrived_);
+  Open.Started_ = true;
+  std::string AttemptId =
+      Open.Call_.RequestId_ + "." + std::to_string(++Open.Attempts_);
+  logDecision("route", Open.Call_.RequestId_, Name_, "server " + Start.Server_,
+              Start.Why_, Context_.Snapshot_->Config_->Revision_);
+  OpenAttempt &Out = Attempts_[Start.Attempt_];
+  Out.Request_ = Start.Request_;
+  Out.HttpCall_ = Context_.Loop_->startCall(
+      makeServerCall(Open, Start.Server_, AttemptId),
+      [this, Attempt = Start.Attempt_, Server = Start.Server_,
+       AttemptId](HttpResult Result) {
+        endServerAttempt(Attempt, Server, AttemptId, std::move(Result));
+      });
+}
+
+void ServiceTraffic::noteServerState(const std::string &Server,
+                                     const HttpResult &Result) {
+  if (Result.getHeader("x-draining").empty())
+    return;
+  logDecision("drain", Server, Name_, "no new work", "server's answer says so",
+              Context_.Snapshot_->Config_->Revision_);
+  Dispatcher_.setHealth(Server, ServerHealth::Draining, EventLoop::now());
+}
+
+void ServiceTraffic::endServerAttempt(AttemptIndex Attempt,
+                                      const std::string &Server,
+                                      const std::string &AttemptId,
+                                      HttpResult Result) {
+  CallReply Reply{Result.Code_, nullptr, Server};
+  const std::string &Echo = Result.getHeader("x-request-id");
+  bool IsRefusal = !Result.getHeader("x-not-run").empty();
+  noteServerState(Server, Result);
+  if (Reply.Code_ == ResultCode::Ok && !Echo.empty() && Echo != AttemptId)
+    Reply.Code_ = ResultCode::ServerAnswerCrossed;
+  else if (Reply.Code_ == ResultCode::Ok && Result.Status_ == 503 && IsRefusal)
+    Reply.Code_ = ResultCode::ServerRefused;
+  Context_.Metrics_->countAttempt(Name_, "server", Reply.Code_);
+  if (Reply.Code_ == ResultCode::Ok)
+    Reply.Answer_ = std::make_shared<Answer>(
+        Answer{Result.Status_, keepAnswerHeaders(Result.Headers_),
+               std::move(Result.Body_)});
+  endAttempt(Attempt, std::move(Reply));
+}
+
+wire::ForwardRequest ServiceTraffic::makeForward(const CallSpec &Call,
+                                                 Duration Left) const {
+  wire::ForwardRequest Body;
+  Body.set_request_id(Call.RequestId_);
+  Body.set_service(Call.Service_);
+  Body.set_method(Call.Method_);
+  Body.set_path(Call.Path_);
+  Body.set_key(Call.Key_);
+  Body.set_body(Call.Body_);
+  writeHeaders(Call.Headers_, *Body.mutable_headers());
+  Body.set_deadline_ms(
+      static_cast<uint32_t>(std::max<int64_t>(1, toMilliseconds(Left))));
+  Body.set_sender_vm(Context_.Settings_->Vm_);
+  Body.set_sender_region(Context_.Settings_->Region_);
+  return Body;
+}
+
+LinkBudget *ServiceTraffic::findLink(const std::string &Region) {
+  auto Found = Context_.Links_.find(Region);
+  return Found == Context_.Links_.end() ? nullptr : &Found->second;
+}
+
+void ServiceTraffic::sendOverLink(const std::string &Region, size_t Bytes,
+                                  std::function<void()> Send) {
+  LinkBudget *Link = findLink(Region);
+  Time Now = EventLoop::now();
+  if (!Link || Link->trySend(Bytes, Now))
+    return Send();
+  Context_.Loop_->addTimer(Link->getReadyTime(Now),
+                           [this, Region, Bytes, Send = std::move(Send)] {
+                             sendOverLink(Region, Bytes, Send);
+                           });
+}
+
+void ServiceTraffic::run(const StartPeerAttempt &Start) {
+  OpenCall &Open = Calls_.at(Start.Request_);
+  const CallSpec &Call = Open.Call_;
+  ++Open.Attempts_;
+  OpenAttempt &Out = Attempts_[Start.Attempt_];
+  Out.Request_ = Start.Request_;
+  const Member *Peer = Context_.Snapshot_->findMember(Start.Vm_);
+  Duration Left = Call.Arrived_ + Call.Timeout_ - EventLoop::now();
+  auto Refuse = [&](ResultCode Code) {
+    Context_.Loop_->post([this, Attempt = Start.Attempt_, Code] {
+      endAttempt(Attempt, {Code, nullptr, ""});
+    });
+  };
+  if (!Peer || !Context_.Peers_->isConnected(Peer->PeerAddress_))
+    return Refuse(ResultCode::PeerUnreachable);
+  LinkBudget *Link = findLink(Peer->Region_);
+  if (Link && !Link->trySend(getSize(Call), EventLoop::now()))
+    return Refuse(ResultCode::LinkCapReached);
+  logDecision("route", Call.RequestId_, Name_, "entry VM " + Start.Vm_,
+              "granted slot", Context_.Snapshot_->Config_->Revision_);
+  wire::ForwardRequest Body = makeForward(Call, Left);
+  Body.set_grant(Start.Grant_);
+  Body.set_incarnation(Start.Incarnation_);
+  Duration Wait = isRepeatable(Call.Method_) ? Left : Left + LateAnswerWait;
+  Out.Cancel_ = Context_.Peers_->forward(
+      Peer->PeerAddress_, std::move(Body), Wait,
+      [this, Loop = Context_.Loop_, Attempt = Start.Attempt_,
+       Id = Call.RequestId_](std::optional<wire::ForwardReply> Reply) {
+        Loop->post([this, Attempt, Id, Reply = std::move(Reply)] {
+          endPeerAttempt(Attempt, Id, Reply);
+        });
+      });
+}
+
+void ServiceTraffic::endPeerAttempt(AttemptIndex Attempt,
+                                    const std::string &RequestId,
+                                    std::optional<wire::ForwardReply> Reply) {
+  CallReply Result{ResultCode::PeerAnswerLost, nullptr, ""};
+  if (Reply)
+    Result = readForwardReply(*Reply, RequestId);
+  Context_.Metrics_->countAttempt(Name_, "entry-vm", Result.Code_);
+  endAttempt(Attempt, std::move(Result));
+}
+
+void ServiceTraffic::endAttempt(AttemptIndex Attempt, CallReply Reply) {
+  auto Found = Attempts_.find(Attempt);
+  if (Found == Attempts_.end())
+    return;
+  ResultCode Code = Reply.Code_;
+  Found->second.Reply_ = std::move(Reply);
+  Dispatcher_.finishAttempt(Attempt, Code, EventLoop::now());
+  perform();
+  Attempts_.erase(Attempt);
+}
+
+void ServiceTraffic::run(const CancelAttempt &Cancel) {
+  auto Found = Attempts_.find(Cancel.Attempt_);
+  if (Found == Attempts_.end())
+    return;
+  if (Found->second.HttpCall_.isValid())
+    Context_.Loop_->cancelCall(Found->second.HttpCall_);
+  if (Found->second.Cancel_)
+    Found->second.Cancel_();
+  Context_.Loop_->post([this, Attempt = Cancel.Attempt_] {
+    endAttempt(Attempt, {ResultCode::Cancelled, nullptr, ""});
+  });
+}
+
+void ServiceTraffic::run(const FinishRequest &Finish) {
+  auto Found = Calls_.find(Finish.Request_);
+  if (Found == Calls_.end())
+    return;
+  OpenCall &Open = Found->second;
+  CallReply Reply{Finish.Code_, nullptr, ""};
+  if (Finish.Answer_.isValid())
+    Reply = Attempts_.at(Finish.Answer_).Reply_;
+  if (getOutcome(Finish.Code_) != Outcome::Answered)
+    logDecision("end", Open.Call_.RequestId_, Name_,
+                getName(getOutcome(Finish.Code_)), getName(Finish.Code_),
+                Context_.Snapshot_->Config_->Revision_);
+  endCall(Open, Reply);
+  bool StillRuns = Open.Key_ && Finish.Code_ == ResultCode::DeadlineAfterStart;
+  if (StillRuns)
+    return;
+  if (Open.Key_) {
+    settleKey(*Open.Key_, Reply);
+    KeyedCalls_.erase(Open.Call_.Key_);
+  }
+  Calls_.erase(Found);
+}
+
+void ServiceTraffic::run(const SettleRequest &Settle) {
+  auto Found = Calls_.find(Settle.Request_);
+  if (Found == Calls_.end())
+    return;
+  OpenCall &Open = Found->second;
+  CallReply Reply{Settle.Code_, nullptr, ""};
+  if (Settle.Code_ == ResultCode::Ok)
+    Reply = Attempts_.at(Settle.Answer_).Reply_;
+  endCall(Open, Reply);
+  settleKey(*Open.Key_, Reply);
+  KeyedCalls_.erase(Open.Call_.Key_);
+  Calls_.erase(Found);
+}
+
+void ServiceTraffic::run(const AskPeer &Ask) {
+  const Member *Peer = Context_.Snapshot_->findMember(Ask.Vm_);
+  if (!Peer || !Context_.Peers_->isConnected(Peer->PeerAddress_)) {
+    Context_.Loop_->post([this, Vm = Ask.Vm_] {
+      Dispatcher_.receiveAnswer({Vm, 0, 0, 0, Duration::zero()},
+                                EventLoop::now());
+      perform();
+    });
+    return;
+  }
+  wire::SlotRequest Body;
+  Body.set_service(Name_);
+  Body.set_vm(Context_.Settings_->Vm_);
+  Body.set_region(Context_.Settings_->Region_);
+  Body.set_wanted(Ask.Wanted_);
+  Body.set_wait_ms(static_cast<uint32_t>(toMilliseconds(Ask.Wait_)));
+  Context_.Peers_->askSlots(
+      Peer->PeerAddress_, std::move(Body), Ask.Wait_ + MaxAskWait,
+      [this, Loop = Context_.Loop_, Vm = Ask.Vm_,
+       Asked = EventLoop::now()](std::optional<wire::SlotReply> Reply) {
+        Loop->post([this, Vm, Asked, Reply = std::move(Reply)] {
+          SlotAnswer Answer{Vm, 0, 0, 0, Duration::zero()};
+          Time Now = EventLoop::now();
+          if (Reply)
+            Answer = {Vm, Reply->grant(), Reply->incarnation(), Reply->slots(),
+                      Asked + milliseconds(Reply->ttl_ms()) - Now};
+          Context_.Metrics_->countGrant(Name_, "received", Answer.Slots_);
+          Dispatcher_.receiveAnswer(Answer, Now);
+          perform();
+        });
+      });
+}
+
+void ServiceTraffic::run(const ReleaseGrant &Release) {
+  const Member *Peer = Context_.Snapshot_->findMember(Release.Vm_);
+  if (!Peer)
+    return;
+  wire::SlotRelease Body;
+  Body.set_service(Name_);
+  Body.set_grant(Release.Grant_);
+  Context_.Peers_->releaseSlots(Peer->PeerAddress_, std::move(Body),
+                                ReleaseTimeout,
+                                [](const std::optional<wire::Empty> &) {});
+}
+
+void ServiceTraffic::run(const AnswerAsk &Answer) {
+  auto Found = Asks_.find(Answer.Ask_);
+  Duration Waited = EventLoop::now() - AskTimes_[Answer.Ask_];
+  wire::SlotReply Reply;
+  Reply.set_slots(Answer.Slots_);
+  Reply.set_incarnation(Context_.Snapshot_->Self_.Incarnation_);
+  if (Answer.Slots_ > 0)
+    Reply.set_grant(Answer.Grant_.get());
+  // The holder counts from when it asked, so the wait here is added.
+  Reply.set_ttl_ms(static_cast<uint32_t>(toMilliseconds(Answer.Ttl_ + Waited)));
+  Context_.Metrics_->countGrant(Name_, "given", Answer.Slots_);
+  Found->second(std::move(Reply));
+  Asks_.erase(Found);
+  AskTimes_.erase(Answer.Ask_);
+}
+
+void ServiceTraffic::askSlots(const wire::SlotRequest &Ask,
+                              PeerRespond<wire::SlotReply> Respond) {
+  Time Now = EventLoop::now();
+  AskIndex Index(NextAsk_++);
+  Asks_[Index] = std::move(Respond);
+  AskTimes_[Index] = Now;
+  Duration Wait = std::min(MaxAskWait, Duration(milliseconds(Ask.wait_ms())));
+  bool IsFar = Ask.region() != Context_.Settings_->Region_;
+  Dispatcher_.addAsk({Index, std::max(1U, Ask.wanted()), IsFar, Now + Wait},
+                     Now);
+  perform();
+}
+
+void ServiceTraffic::releaseGrant(uint64_t Grant) {
+  Dispatcher_.releaseGrant(GrantIndex(Grant), EventLoop::now());
+  perform();
+}
+
+void ServiceTraffic::probeServers() {
+  for (const std::string &Server : Owned_) {
+    HttpCall Call;
+    Call.Url_ = "http://" + Server + "/health";
+    Call.Timeout_ = ProbeTimeout;
+    Context_.Loop_->startCall(std::move(Call), [this, Server](
+                                                   const HttpResult &Result) {
+      unsigned &Failures = ProbeFailures_[Server];
+      Failures = Result.Code_ == ResultCode::Ok ? 0 : Failures + 1;
+      nlohmann::json Body = nlohmann::json::parse(Result.Body_, nullptr, false);
+      bool IsDraining = Body.is_object() && Body.contains("draining") &&
+                        Body["draining"] == true;
+      ServerHealth Health =
+          IsDraining ? ServerHealth::Draining : ServerHealth::Up;
+      if (Failures >= ProbeFailuresToDown)
+        Health = ServerHealth::Down;
+      else if (Failures > 0)
+        return;
+      Dispatcher_.setHealth(Server, Health, EventLoop::now());
+      perform();
+    });
+  }
+}
+
+ServiceStats ServiceTraffic::getStats() {
+  Time Now = EventLoop::now();
+  return {Dispatcher_.getStats(Now), Keys_.getSize(), Calls_.size(),
+          Dispatcher_.getServerStatus(Now)};
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/daemon/service_traffic_base.h
@@ -0,0 +1,130 @@
+/// \file service_traffic_base.h Carries out the decisions of one service.
+#ifndef CRANBERRY_DAEMON_SERVICE_TRAFFIC_BASE_H
+#define CRANBERRY_DAEMON_SERVICE_TRAFFIC_BASE_H
+
+#include "daemon/call_type.h"
+#include "daemon/metrics_base.h"
+#include "daemon/settings_type.h"
+#include "daemon/snapshot_type.h"
+#include "net/event_loop_base.h"
+#include "net/peer_link_base.h"
+#include "process/link_budget_base.h"
+#include "request/dispatcher_base.h"
+#include "request/idempotency_table_base.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cranberry {
+
+/// What all services of a traffic thread share.
+struct TrafficContext {
+  const Settings *Settings_;                ///< Settings.
+  EventLoop *Loop_;                         ///< Thread's loop.
+  PeerClient *Peers_;                       ///< Connections to peers.
+  Metrics *Metrics_;                        ///< Counters.
+  SnapshotPtr Snapshot_;                    ///< Newest control state.
+  std::map<std::string, LinkBudget> Links_; ///< By receiving region.
+};
+
+/// Figures of a service on this entry VM.
+struct ServiceStats {
+  DispatcherStats Dispatcher_;        ///< Queue and slots.
+  size_t Keys_ = 0;                   ///< Idempotency keys remembered.
+  size_t OpenCalls_ = 0;              ///< Requests that have not ended.
+  std::vector<ServerStatus> Servers_; ///< Backend servers owned.
+};
+
+/// One service on one traffic thread: a dispatcher, its keys, and the calls
+/// that are out.
+class ServiceTraffic {
+public:
+  ServiceTraffic(std::string Name, TrafficContext &Context);
+
+  /// Takes over a new snapshot.
+  void refresh();
+
+  void submit(CallSpec Call, CallEnd End);
+  void askSlots(const wire::SlotRequest &Ask,
+                PeerRespond<wire::SlotReply> Respond);
+  void releaseGrant(uint64_t Grant);
+
+  /// Asks every owned server's health endpoint.
+  void probeServers();
+
+  /// Moves time on.
+  void tick();
+
+  ServiceStats getStats();
+
+private:
+  /// A request that has not ended for its callers.
+  struct OpenCall {
+    CallSpec Call_;                     ///< Request.
+    std::vector<CallEnd> Ends_;         ///< Callers that wait for it.
+    std::vector<Time> Deadlines_;       ///< Theirs, in the same order.
+    std::optional<IdempotencyKey> Key_; ///< Key, if this VM is its home.
+    bool Started_ = false;              ///< Whether an attempt was made.
+    unsigned Attempts_ = 0;             ///< Attempts made.
+  };
+
+  /// An attempt that is out.
+  struct OpenAttempt {
+    RequestIndex Request_;         ///< Its request.
+    CallIndex HttpCall_;           ///< Call to a server; invalid for a peer.
+    std::function<void()> Cancel_; ///< Cancels a call to a peer.
+    CallReply Reply_;              ///< Answer, once it is there.
+  };
+
+  void startCall(CallSpec Call, CallEnd End, std::optional<IdempotencyKey> Key);
+  void submitKeyed(CallSpec Call, CallEnd End);
+  void passHome(const IdempotencyKey &Key, CallSpec Call, CallEnd End);
+  void endCall(OpenCall &Call, const CallReply &Reply);
+  void settleKey(const IdempotencyKey &Key, const CallReply &Reply);
+  void expireWaiters(Time Now);
+
+  void perform();
+  void run(const StartServerAttempt &Start);
+  void run(const StartPeerAttempt &Start);
+  void run(const CancelAttempt &Cancel);
+  void run(const FinishRequest &Finish);
+  void run(const SettleRequest &Settle);
+  void run(const AskPeer &Ask);
+  void run(const ReleaseGrant &Release);
+  void run(const AnswerAsk &Answer);
+
+  HttpCall makeServerCall(const OpenCall &Open, const std::string &Server,
+                          const std::string &AttemptId) const;
+  wire::ForwardRequest makeForward(const CallSpec &Call, Duration Left) const;
+  void endServerAttempt(AttemptIndex Attempt, const std::string &Server,
+                        const std::string &AttemptId, HttpResult Result);
+  void endPeerAttempt(AttemptIndex Attempt, const std::string &RequestId,
+                      std::optional<wire::ForwardReply> Reply);
+  void endAttempt(AttemptIndex Attempt, CallReply Reply);
+  void noteServerState(const std::string &Server, const HttpResult &Result);
+  bool isRepeatable(const std::string &Method) const;
+  Duration getTimeout(const CallSpec &Call) const;
+  LinkBudget *findLink(const std::string &Region);
+  void scheduleWake();
+  void sendOverLink(const std::string &Region, size_t Bytes,
+                    std::function<void()> Send);
+
+  std::string Name_;               ///< Service.
+  TrafficContext &Context_;        ///< Shared with the thread's other services.
+  Dispatcher Dispatcher_;          ///< Decisions.
+  IdempotencyTable Keys_;          ///< Keys whose home is this VM.
+  std::vector<std::string> Owned_; ///< Servers that this VM gives work.
+  std::map<std::string, unsigned> ProbeFailures_;  ///< In a row, by server.
+  std::map<RequestIndex, OpenCall> Calls_;         ///< Not ended.
+  std::map<AttemptIndex, OpenAttempt> Attempts_;   ///< Out.
+  std::map<std::string, RequestIndex> KeyedCalls_; ///< Running, by key.
+  std::map<AskIndex, PeerRespond<wire::SlotReply>> Asks_; ///< Not answered.
+  std::map<AskIndex, Time> AskTimes_;                     ///< When they came.
+  uint64_t NextAsk_ = 1;        ///< Number of the next question.
+  Time NextWake_ = Time::max(); ///< Earliest timer that is set.
+};
+
+} // namespace cranberry
+
+#endif
--- /dev/null
+++ b/src/daemon/settings.cpp
@@ -0,0 +1,155 @@
+/// \file settings.cpp Reading and checking the settings file.
+#include "daemon/settings_func.h"
+
+#include "core/overload_type.h"
+#include "daemon/table/settings_table.h"
+#include "version/client_block_func.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+using nlohmann::json;
+
+namespace cranberry {
+
+namespace {
+
+/// Listening ports may be 0, so that the kernel picks one.
+bool isListenAddress(const std::string &Text) {
+  constexpr unsigned MaxPort = 65535;
+  size_t Colon = Text.find(':');
+  if (Colon == std::string::npos || !parseIpv4(Text.substr(0, Colon)))
+    return false;
+  const char *First = Text.data() + Colon + 1;
+  const char *Last = Text.data() + Text.size();
+  unsigned Port = 0;
+  auto [End, Error] = std::from_chars(First, Last, Port);
+  return Error == std::errc() && End == Last && Port <= MaxPort;
+}
+
+/// Sets one field of the settings, or says why not.
+class FieldSetter {
+public:
+  FieldSetter(Settings &Target, const SettingsRow &Row, const json &Value,
+              Reason &Why)
+      : Target_(Target), Row_(Row), Value_(Value), Why_(Why) {}
+
+  bool set() {
+    return std::visit([this](auto Field) { return setField(Field); },
+                      Row_.Field_);
+  }
+
+private:
+  bool fail(ResultCode Code, const std::string &Text) {
+    Why_ = {Code, Row_.Key_, Text};
+    return false;
+  }
+
+  bool setField(std::string Settings::*Field) {
+    if (!Value_.is_string() || Value_.get_ref<const std::string &>().empty())
+      return fail(ResultCode::SettingsWrongType,
+                  "must be a string that is not empty");
+    std::string Text = Value_;
+    if (Row_.IsAddress_ && !isListenAddress(Text))
+      return fail(ResultCode::SettingsOutOfRange,
+                  "must be an IPv4 address with a port");
+    Target_.*Field = Text;
+    return true;
+  }
+
+  bool setField(std::vector<std::string> Settings::*Field) {
+    if (!Value_.is_array())
+      return fail(ResultCode::SettingsWrongType, "must be a list of strings");
+    for (const json &Entry : Value_) {
+      if (!Entry.is_string())
+        return fail(ResultCode::SettingsWrongType, "must be a list of strings");
+      if (!isListenAddress(Entry))
+        return fail(ResultCode::SettingsOutOfRange,
+                    "each entry must be an IPv4 address with a port");
+      (Target_.*Field).push_back(Entry);
+    }
+    return true;
+  }
+
+  std::optional<int64_t> readNumber() {
+    if (!Value_.is_number_integer()) {
+      fail(ResultCode::SettingsWrongType, "must be a whole number");
+      return std::nullopt;
+    }
+    auto Number = Value_.get<int64_t>();
+    if (Number >= Row_.Minimum_ && Number <= Row_.Maximum_)
+      return Number;
+    fail(ResultCode::SettingsOutOfRange,
+         "must be from " + std::to_string(Row_.Minimum_) + " to " +
+             std::to_string(Row_.Maximum_));
+    return std::nullopt;
+  }
+
+  bool setField(unsigned Settings::*Field) {
+    std::optional<int64_t> Number = readNumber();
+    if (Number)
+      Target_.*Field = static_cast<unsigned>(*Number);
+    return Number.has_value();
+  }
+
+  bool setField(Duration Settings::*Field) {
+    std::optional<int64_t> Number = readNumber();
+    if (Number)
+      Target_.*Field = milliseconds(*Number);
+    return Number.has_value();
+  }
+
+  Settings &Target_;       ///< Being filled.
+  const SettingsRow &Row_; ///< Key's row.
+  const json &Value_;      ///< Key's value.
+  Reason &Why_;            ///< Set on failure.
+};
+
+const SettingsRow *findRow(const std::string &Key) {
+  for (const SettingsRow &Row : SettingsTable)
+    if (Row.Key_ == Key)
+      return &Row;
+  return nullptr;
+}
+
+} // namespace
+
+std::optional<Settings> parseSettings(const std::string &Text, Reason &Why) {
+  json Root = json::parse(Text, nullptr, false);
+  if (Root.is_discarded() || !Root.is_object()) {
+    Why = {ResultCode::SettingsNotJson, "", ""};
+    return std::nullopt;
+  }
+  Settings Result;
+  for (const auto &[Key, Value] : Root.items()) {
+    const SettingsRow *Row = findRow(Key);
+    if (!Row) {
+      Why = {ResultCode::SettingsUnknownKey, Key, ""};
+      return std::nullopt;
+    }
+    if (!FieldSetter(Result, *Row, Value, Why).set())
+      return std::nullopt;
+  }
+  for (const SettingsRow &Row : SettingsTable)
+    if (Row.Required_ && !Root.contains(Row.Key_)) {
+      Why = {ResultCode::SettingsMissingKey, Row.Key_, ""};
+      return std::nullopt;
+    }
+  return Result;
+}
+
+std::optional<Settings> readSettings(const std::string &Path, Reason &Why) {
+  std::ifstream File(Path);
+  if (!File) {
+    Why = {ResultCode::SettingsFileMissing, "", Path};
+    return std::nullopt;
+  }
+  std::stringstream Text;
+  Text << File.rdbuf();
+  return parseSettings(Text.str(), Why);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/daemon/settings_type.h
@@ -0,0 +1,36 @@
+/// \file settings_type.h Settings of the daemon.
+#ifndef CRANBERRY_DAEMON_SETTINGS_TYPE_H
+#define CRANBERRY_DAEMON_SETTINGS_TYPE_H
+
+#include "core/time_type.h"
+
+#include <string>
+#include <vector>
+
+namespace cranberry {
+
+/// What a process learns from its settings file.
+struct Settings {
+  std::string Vm_;                  ///< Name of this entry VM.
+  std::string Region_;              ///< Region.
+  std::string Zone_;                ///< Availability zone.
+  std::string Http_;                ///< Listens here for callers, operators.
+  std::string Peer_;                ///< Listens here for other entry VMs.
+  std::string Platform_;            ///< "address:port" of the platform.
+  std::vector<std::string> Peers_;  ///< Peer addresses to start from.
+  unsigned HttpThreads_ = 2;        ///< Threads that read and write HTTP.
+  unsigned TrafficThreads_ = 2;     ///< Threads that route requests.
+  unsigned MaxConnections_ = 4096;  ///< Most open connections of callers.
+  unsigned MaxBodyKb_ = 1024;       ///< Largest request body, in KiB.
+  Duration LookupTtl_ = seconds(5); ///< Life of a look-up answer.
+  Duration HeartbeatPeriod_ = milliseconds(500); ///< Between heartbeats.
+  Duration HealthPeriod_ = milliseconds(500);    ///< Between health probes.
+  Duration KeyEpochLength_ = std::chrono::minutes(10); ///< Of a key epoch.
+  Duration DrainLimit_ = seconds(60); ///< Longest planned stop.
+  unsigned MaxKeys_ = 200000;         ///< Most idempotency keys remembered.
+  unsigned MaxAnswerMb_ = 32;         ///< Most MiB of answers remembered.
+};
+
+} // namespace cranberry
+
+#endif
--- /dev/null
+++ b/src/daemon/snapshot_type.h
@@ -0,0 +1,54 @@
+/// \file snapshot_type.h What the traffic threads read of the control state.
+#ifndef CRANBERRY_DAEMON_SNAPSHOT_TYPE_H
+#define CRANBERRY_DAEMON_SNAPSHOT_TYPE_H
+
+#include "process/member_type.h"
+#include "version/configuration_type.h"
+
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace cranberry {
+
+/// One moment of the control state. Never changed after it is published.
+struct Snapshot {
+  ConfigurationPtr Config_ = std::make_shared<Configuration>(); ///< In force.
+  MemberList Members_;                   ///< Entry VMs that are not gone.
+  Member Self_;                          ///< This entry VM.
+  std::set<std::string> LeavingServers_; ///< Leaving by the platform's list.
+  bool Ready_ = false;                   ///< Whether a configuration came.
+
+  /// \return The member called \p Vm, or null.
+  const Member *findMember(const std::string &Vm) const {
+    for (const Member &M : Members_)
+      if (M.Vm_ == Vm)
+        return &M;
+    return nullptr;
+  }
+};
+
+using SnapshotPtr = std::shared_ptr<const Snapshot>;
+
+/// Hands the newest snapshot from the control thread to all others.
+class SnapshotHolder {
+public:
+  SnapshotPtr get() const {
+    std::lock_guard Lock(Mutex_);
+    return Current_;
+  }
+
+  void set(SnapshotPtr Next) {
+    std::lock_guard Lock(Mutex_);
+    Current_.swap(Next);
+  }
+
+private:
+  mutable std::mutex Mutex_; ///< Held for a pointer's copy.
+  SnapshotPtr Current_ = std::make_shared<Snapshot>(); ///< Newest.
+};
+
+} // namespace cranberry
+
+#endif
--- /dev/null
+++ b/src/daemon/table/settings_table.h
@@ -0,0 +1,52 @@
+/// \file settings_table.h Type and range of every settings key.
+#ifndef CRANBERRY_DAEMON_TABLE_SETTINGS_TABLE_H
+#define CRANBERRY_DAEMON_TABLE_SETTINGS_TABLE_H
+
+#include "daemon/settings_type.h"
+
+#include <cstdint>
+#include <variant>
+
+namespace cranberry {
+
+/// Where a key's value goes; the alternative tells the JSON type.
+using SettingsField =
+    std::variant<std::string Settings::*, std::vector<std::string> Settings::*,
+                 unsigned Settings::*, Duration Settings::*>;
+
+/// One settings key.
+struct SettingsRow {
+  const char *Key_;     ///< Key; a duration's key ends in its unit.
+  SettingsField Field_; ///< Target.
+  bool Required_;       ///< Whether it must be present.
+  bool IsAddress_;      ///< Whether text must be "address:port".
+  int64_t Minimum_;     ///< Smallest number.
+  int64_t Maximum_;     ///< Largest number.
+};
+
+// clang-format off
+inline const SettingsRow SettingsTable[] = {
+    {"vm", &Settings::Vm_, true, false, 0, 0},
+    {"region", &Settings::Region_, true, false, 0, 0},
+    {"zone", &Settings::Zone_, true, false, 0, 0},
+    {"http", &Settings::Http_, true, true, 0, 0},
+    {"peer", &Settings::Peer_, true, true, 0, 0},
+    {"platform", &Settings::Platform_, true, true, 0, 0},
+    {"peers", &Settings::Peers_, false, true, 0, 0},
+    {"httpThreads", &Settings::HttpThreads_, false, false, 1, 64},
+    {"trafficThreads", &Settings::TrafficThreads_, false, false, 1, 64},
+    {"maxConnections", &Settings::MaxConnections_, false, false, 1, 1000000},
+    {"maxBodyKb", &Settings::MaxBodyKb_, false, false, 1, 32768},
+    {"lookupTtlMs", &Settings::LookupTtl_, false, false, 100, 600000},
+    {"heartbeatMs", &Settings::HeartbeatPeriod_, false, false, 20, 10000},
+    {"healthMs", &Settings::HealthPeriod_, false, false, 20, 1500},
+    {"keyEpochMs", &Settings::KeyEpochLength_, false, false, 1000, 86400000},
+    {"drainLimitMs", &Settings::DrainLimit_, false, false, 100, 3600000},
+    {"maxKeys", &Settings::MaxKeys_, false, false, 1, 10000000},
+    {"maxAnswerMb", &Settings::MaxAnswerMb_, false, false, 1, 4096},
+};
+// clang-format on
+
+} // namespace cranberry
+
+#endif
--- /dev/null
+++ b/src/net/peer_link.cpp
@@ -0,0 +1,219 @@
+/// \file peer_link.cpp Calls between entry VMs, over gRPC.
+#include "net/peer_link_base.h"
+
+#include "net/generated/peer.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <map>
+#include <mutex>
+
+namespace cranberry {
+
+namespace {
+
+constexpr int MaxMessageBytes = 64 << 20;
+constexpr int KeepaliveMs = 1000;
+constexpr int KeepaliveTimeoutMs = 1000;
+constexpr int MinReconnectMs = 100;
+constexpr int MaxReconnectMs = 1000;
+
+/// Answers a call when the handler does.
+template <typename Request, typename Reply>
+grpc::ServerUnaryReactor *serve(grpc::CallbackServerContext *Context,
+                                const PeerHandler<Request, Reply> &Handler,
+                                const Request *In, Reply *Out) {
+  grpc::ServerUnaryReactor *Reactor = Context->DefaultReactor();
+  Handler(*In, [Reactor, Out](Reply Answer) {
+    *Out = std::move(Answer);
+    Reactor->Finish(grpc::Status::OK);
+  });
+  return Reactor;
+}
+
+class PeerService final : public wire::Peer::CallbackService {
+public:
+  explicit PeerService(PeerHandlers Handlers)
+      : Handlers_(std::move(Handlers)) {}
+
+  using Context = grpc::CallbackServerContext;
+  using Reactor = grpc::ServerUnaryReactor;
+
+  // NOLINTBEGIN(readability-identifier-naming): names of the generated code.
+  Reactor *Exchange(Context *C, const wire::Heartbeat *In,
+                    wire::Heartbeat *Out) override {
+    return serve(C, Handlers_.Exchange_, In, Out);
+  }
+  Reactor *GetChanges(Context *C, const wire::ChangesRequest *In,
+                      wire::ChangesReply *Out) override {
+    return serve(C, Handlers_.GetChanges_, In, Out);
+  }
+  Reactor *AskSlots(Context *C, const wire::SlotRequest *In,
+                    wire::SlotReply *Out) override {
+    return serve(C, Handlers_.AskSlots_, In, Out);
+  }
+  Reactor *ReleaseSlots(Context *C, const wire::SlotRelease *In,
+                        wire::Empty *Out) override {
+    return serve(C, Handlers_.ReleaseSlots_, In, Out);
+  }
+  Reactor *Forward(Context *C, const wire::ForwardRequest *In,
+                   wire::ForwardReply *Out) override {
+    return serve(C, Handlers_.Forward_, In, Out);
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  PeerHandlers Handlers_; ///< Whom to call.
+};
+
+class GrpcPeerServer final : public PeerServer {
+public:
+  explicit GrpcPeerServer(PeerHandlers Handlers)
+      : Service_(std::move(Handlers)) {}
+
+  bool start(const std::string &Address) {
+    grpc::ServerBuilder Builder;
+    int Port = 0;
+    Builder.AddListeningPort(Address, grpc::InsecureServerCredentials(), &Port);
+    Builder.SetMaxReceiveMessageSize(MaxMessageBytes);
+    Builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    Builder.AddChannelArgument(
+        GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, KeepaliveMs / 2);
+    Builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+    Builder.RegisterService(&Service_);
+    Server_ = Builder.BuildAndStart();
+    Address_ = Address.substr(0, Address.rfind(':') + 1) + std::to_string(Port);
+    return Server_ && Port != 0;
+  }
+
+  const std::string &getAddress() const override { return Address_; }
+
+  void shutdown(Duration Grace) override {
+    Server_->Shutdown(std::chrono::system_clock::now() + Grace);
+  }
+
+private:
+  PeerService Service_;                  ///< Dispatches to the handlers.
+  std::unique_ptr<grpc::Server> Server_; ///< Library's server.
+  std::string Address_;                  ///< As bound.
+};
+
+/// A channel and its stub.
+struct Channel {
+  std::shared_ptr<grpc::Channel> Channel_; ///< Connection.
+  std::shared_ptr<wire::Peer::Stub> Stub_; ///< Calls on it.
+};
+
+class GrpcPeerClient final : public PeerClient {
+public:
+  bool isConnected(const std::string &Address) override {
+    return getChannel(Address).Channel_->GetState(true) == GRPC_CHANNEL_READY;
+  }
+
+  void exchange(const std::string &Address, wire::Heartbeat Body,
+                Duration Timeout,
+                PeerReplied<wire::Heartbeat> Replied) override {
+    call(Address, std::move(Body), Timeout, std::move(Replied),
+         [](auto *Async, auto &&...Args) { Async->Exchange(Args...); });
+  }
+
+  void getChanges(const std::string &Address, wire::ChangesRequest Body,
+                  Duration Timeout,
+                  PeerReplied<wire::ChangesReply> Replied) override {
+    call(Address, std::move(Body), Timeout, std::move(Replied),
+         [](auto *Async, auto &&...Args) { Async->GetChanges(Args...); });
+  }
+
+  void askSlots(const std::string &Address, wire::SlotRequest Body,
+                Duration Timeout,
+                PeerReplied<wire::SlotReply> Replied) override {
+    call(Address, std::move(Body), Timeout, std::move(Replied),
+         [](auto *Async, auto &&...Args) { Async->AskSlots(Args...); });
+  }
+
+  void releaseSlots(const std::string &Address, wire::SlotRelease Body,
+                    Duration Timeout,
+                    PeerReplied<wire::Empty> Replied) override {
+    call(Address, std::move(Body), Timeout, std::move(Replied),
+         [](auto *Async, auto &&...Args) { Async->ReleaseSlots(Args...); });
+  }
+
+  std::function<void()>
+  forward(const std::string &Address, wire::ForwardRequest Body,
+          Duration Timeout, PeerReplied<wire::ForwardReply> Replied) override {
+    return call(Address, std::move(Body), Timeout, std::move(Replied),
+                [](auto *Async, auto &&...Args) { Async->Forward(Args...); });
+  }
+
+private:
+  Channel getChannel(const std::string &Address) {
+    std::lock_guard Lock(Mutex_);
+    Channel &Known = Channels_[Address];
+    if (Known.Channel_)
+      return Known;
+    grpc::ChannelArguments Args;
+    Args.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, KeepaliveMs);
+    Args.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepaliveTimeoutMs);
+    Args.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+    Args.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+    Args.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, MinReconnectMs);
+    Args.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, MinReconnectMs);
+    Args.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, MaxReconnectMs);
+    Args.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    Args.SetMaxReceiveMessageSize(MaxMessageBytes);
+    Known.Channel_ = grpc::CreateCustomChannel(
+        Address, grpc::InsecureChannelCredentials(), Args);
+    Known.Stub_ = wire::Peer::NewStub(Known.Channel_);
+    return Known;
+  }
+
+  template <typename Request, typename Reply, typename Start>
+  std::function<void()> call(const std::string &Address, Request Body,
+                             Duration Timeout, PeerReplied<Reply> Replied,
+                             Start StartCall) {
+    struct Pending {
+      grpc::ClientContext Context_;
+      Request Body_;
+      Reply Reply_;
+      std::shared_ptr<wire::Peer::Stub> Stub_;
+    };
+    auto Call = std::make_shared<Pending>();
+    Call->Body_ = std::move(Body);
+    Call->Stub_ = getChannel(Address).Stub_;
+    Call->Context_.set_deadline(std::chrono::system_clock::now() + Timeout);
+    StartCall(Call->Stub_->async(), &Call->Context_, &Call->Body_,
+              &Call->Reply_,
+              std::function<void(grpc::Status)>(
+                  [Call, Replied](const grpc::Status &Status) {
+                    if (Status.ok())
+                      Replied(std::move(Call->Reply_));
+                    else
+                      Replied(std::nullopt);
+                  }));
+    return [Weak = std::weak_ptr<Pending>(Call)] {
+      if (std::shared_ptr<Pending> Live = Weak.lock())
+        Live->Context_.TryCancel();
+    };
+  }
+
+  std::mutex Mutex_;                        ///< Guards Channels_.
+  std::map<std::string, Channel> Channels_; ///< By address.
+};
+
+} // namespace
+
+std::unique_ptr<PeerServer> PeerServer::open(const std::string &Address,
+                                             PeerHandlers Handlers,
+                                             Reason &Why) {
+  auto Server = std::make_unique<GrpcPeerServer>(std::move(Handlers));
+  if (Server->start(Address))
+    return Server;
+  Why = {ResultCode::PortUnavailable, "", Address};
+  return nullptr;
+}
+
+std::unique_ptr<PeerClient> PeerClient::create() {
+  return std::make_unique<GrpcPeerClient>();
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/process/membership.cpp
@@ -0,0 +1,256 @@
+/// \file membership.cpp Which entry VMs are alive.
+#include "process/membership_base.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace cranberry {
+
+namespace {
+
+constexpr size_t TargetsPerPeriod = 2;
+constexpr Duration SuspectTime = seconds(2);
+constexpr Duration ForgetTime = std::chrono::minutes(10);
+constexpr double SpreadFactor = 3.0;
+constexpr size_t MaxUpdates = 32; ///< Bounds the size of a heartbeat.
+
+/// FNV-1a: the same value on every VM, which std::hash does not promise.
+uint64_t hashText(const std::string &Text) {
+  uint64_t Hash = 0xcbf29ce484222325ULL;
+  for (unsigned char C : Text)
+    Hash = (Hash ^ C) * 0x100000001b3ULL;
+  // Mixes the high bits down, which FNV leaves weak for short texts.
+  Hash ^= Hash >> 32;
+  return Hash * 0x9e3779b97f4a7c15ULL;
+}
+
+bool isNewer(const Member &A, const Member &B) {
+  auto Key = [](const Member &M) {
+    return std::tuple(M.Incarnation_, M.Sequence_, M.State_);
+  };
+  return Key(A) > Key(B);
+}
+
+} // namespace
+
+Membership::Membership(Member Self, std::vector<std::string> Seeds,
+                       uint64_t Seed)
+    : Self_(std::move(Self)), Seeds_(Seeds.begin(), Seeds.end()),
+      Random_(Seed) {
+  Seeds_.erase(Self_.PeerAddress_);
+  announceSelf();
+}
+
+unsigned Membership::getSpreadCount() const {
+  return static_cast<unsigned>(
+      std::ceil(SpreadFactor * std::log2(2.0 + Peers_.size())));
+}
+
+void Membership::announceSelf() {
+  ++Self_.Sequence_;
+  SelfSendsLeft_ = getSpreadCount();
+  Changed_ = true;
+}
+
+void Membership::leave() {
+  Self_.State_ = MemberState::Leaving;
+  announceSelf();
+}
+
+void Membership::setRevision(Revision Value) {
+  if (Value <= Self_.Revision_)
+    return;
+  Self_.Revision_ = Value;
+}
+
+void Membership::setKeyEpoch(uint64_t Epoch) { Self_.KeyEpoch_ = Epoch; }
+
+void Membership::addSeed(const std::string &Address) {
+  bool IsKnown =
+      std::any_of(Peers_.begin(), Peers_.end(), [&](const auto &Item) {
+        return Item.second.Member_.PeerAddress_ == Address;
+      });
+  if (!IsKnown && Address != Self_.PeerAddress_)
+    Seeds_.insert(Address);
+}
+
+void Membership::refillRound() {
+  for (const std::string &Seed : Seeds_)
+    Round_.push_back(Seed);
+  for (const auto &[Vm, Known] : Peers_)
+    Round_.push_back(Known.Member_.PeerAddress_);
+  std::shuffle(Round_.begin(), Round_.end(), Random_);
+}
+
+std::vector<std::string> Membership::getTargets(Time Now) {
+  tick(Now);
+  std::vector<std::string> Targets;
+  while (Targets.size() < TargetsPerPeriod) {
+    if (Round_.empty() && !Targets.empty())
+      break;
+    if (Round_.empty())
+      refillRound();
+    if (Round_.empty())
+      break;
+    Targets.push_back(Round_.back());
+    Round_.pop_back();
+  }
+  return Targets;
+}
+
+std::vector<Member> Membership::takeUpdates() {
+  std::vector<Peer *> Fresh;
+  for (auto &[Vm, Known] : Peers_)
+    if (Known.SendsLeft_ > 0)
+      Fresh.push_back(&Known);
+  std::stable_sort(Fresh.begin(), Fresh.end(),
+                   [](const Peer *A, const Peer *B) {
+                     return A->SendsLeft_ > B->SendsLeft_;
+                   });
+  if (Fresh.size() > MaxUpdates)
+    Fresh.resize(MaxUpdates);
+  std::vector<Member> Updates;
+  for (Peer *Known : Fresh) {
+    --Known->SendsLeft_;
+    Updates.push_back(Known->Member_);
+  }
+  return Updates;
+}
+
+HeartbeatBody Membership::makeHeartbeat(const std::string &Address) {
+  HeartbeatBody Body{Self_, takeUpdates(), Seeds_.contains(Address)};
+  for (const auto &[Vm, Known] : Peers_)
+    if (Known.Member_.PeerAddress_ == Address)
+      addDoubt(Known.Member_, Body);
+  return Body;
+}
+
+void Membership::addDoubt(const Member &Known, HeartbeatBody &Body) {
+  if (Known.State_ == MemberState::Suspect || Known.State_ == MemberState::Gone)
+    Body.Updates_.push_back(Known);
+}
+
+HeartbeatBody Membership::receiveHeartbeat(const HeartbeatBody &Body,
+                                           Time Now) {
+  receiveAnswer(Body, Now);
+  HeartbeatBody Answer{Self_, {}, false};
+  if (!Body.WantsAll_) {
+    Answer.Updates_ = takeUpdates();
+    if (auto Known = Peers_.find(Body.Sender_.Vm_); Known != Peers_.end())
+      addDoubt(Known->second.Member_, Answer);
+    return Answer;
+  }
+  for (const auto &[Vm, Known] : Peers_)
+    Answer.Updates_.push_back(Known.Member_);
+  return Answer;
+}
+
+void Membership::receiveAnswer(const HeartbeatBody &Body, Time Now) {
+  merge(Body.Sender_, Now);
+  refresh(Body.Sender_);
+  for (const Member &Update : Body.Updates_)
+    merge(Update, Now);
+}
+
+void Membership::refresh(const Member &Sender) {
+  auto Found = Peers_.find(Sender.Vm_);
+  if (Found == Peers_.end() ||
+      Found->second.Member_.Incarnation_ != Sender.Incarnation_)
+    return;
+  Member &Known = Found->second.Member_;
+  Changed_ = Changed_ || Known.KeyEpoch_ != Sender.KeyEpoch_ ||
+             Known.Revision_ != Sender.Revision_;
+  Known.KeyEpoch_ = std::max(Known.KeyEpoch_, Sender.KeyEpoch_);
+  Known.Revision_ = std::max(Known.Revision_, Sender.Revision_);
+}
+
+void Membership::merge(const Member &Update, Time Now) {
+  if (Update.Vm_ == Self_.Vm_) {
+    bool IsDoubted = Update.Incarnation_ == Self_.Incarnation_ &&
+                     Update.Sequence_ >= Self_.Sequence_ &&
+                     Update.State_ != Self_.State_;
+    if (IsDoubted) {
+      Self_.Sequence_ = Update.Sequence_;
+      announceSelf();
+    }
+    return;
+  }
+  Seeds_.erase(Update.PeerAddress_);
+  auto [Found, IsNew] = Peers_.try_emplace(Update.Vm_);
+  Peer &Known = Found->second;
+  if (!IsNew && !isNewer(Update, Known.Member_))
+    return;
+  if (IsNew || Known.Member_.State_ != Update.State_)
+    Known.StateSince_ = Now;
+  Known.Member_ = Update;
+  Known.SendsLeft_ = getSpreadCount();
+  Changed_ = true;
+}
+
+void Membership::noteFailure(const std::string &Address, Time Now) {
+  for (auto &[Vm, Known] : Peers_) {
+    if (Known.Member_.PeerAddress_ != Address ||
+        Known.Member_.State_ == MemberState::Gone ||
+        Known.Member_.State_ == MemberState::Suspect)
+      continue;
+    Member Update = Known.Member_;
+    Update.State_ = Update.State_ == MemberState::Leaving
+                        ? MemberState::Gone
+                        : MemberState::Suspect;
+    merge(Update, Now);
+  }
+}
+
+void Membership::tick(Time Now) {
+  for (auto &[Vm, Known] : Peers_) {
+    if (Known.Member_.State_ != MemberState::Suspect ||
+        Now < Known.StateSince_ + SuspectTime)
+      continue;
+    Member Update = Known.Member_;
+    Update.State_ = MemberState::Gone;
+    merge(Update, Now);
+  }
+  std::erase_if(Peers_, [=](const auto &Item) {
+    return Item.second.Member_.State_ == MemberState::Gone &&
+           Now >= Item.second.StateSince_ + ForgetTime;
+  });
+}
+
+MemberList Membership::getMembers() const {
+  MemberList Members{Self_};
+  for (const auto &[Vm, Known] : Peers_)
+    if (Known.Member_.State_ != MemberState::Gone)
+      Members.push_back(Known.Member_);
+  std::sort(Members.begin(), Members.end(),
+            [](const Member &A, const Member &B) { return A.Vm_ < B.Vm_; });
+  return Members;
+}
+
+MemberList Membership::getGone() const {
+  MemberList Members;
+  for (const auto &[Vm, Known] : Peers_)
+    if (Known.Member_.State_ == MemberState::Gone)
+      Members.push_back(Known.Member_);
+  return Members;
+}
+
+bool Membership::takeChanged() { return std::exchange(Changed_, false); }
+
+std::optional<size_t> pickOwner(const std::vector<std::string> &Candidates,
+                                const std::string &Key) {
+  std::optional<size_t> Best;
+  uint64_t BestHash = 0;
+  for (size_t I = 0; I < Candidates.size(); ++I) {
+    uint64_t Hash = hashText(Candidates[I] + '\n' + Key);
+    if (Best && (Hash < BestHash ||
+                 (Hash == BestHash && Candidates[I] > Candidates[*Best])))
+      continue;
+    Best = I;
+    BestHash = Hash;
+  }
+  return Best;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/process/membership_base.h
@@ -0,0 +1,109 @@
+/// \file membership_base.h Which entry VMs are alive.
+#ifndef CRANBERRY_PROCESS_MEMBERSHIP_BASE_H
+#define CRANBERRY_PROCESS_MEMBERSHIP_BASE_H
+
+#include "process/member_type.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cranberry {
+
+/// Body of a heartbeat and of its answer.
+struct HeartbeatBody {
+  Member Sender_;               ///< Who sends it.
+  std::vector<Member> Updates_; ///< Changes that are still being spread.
+  bool WantsAll_ = false;       ///< Whether the answer is to list everyone.
+};
+
+/// Finds failures by heartbeats and spreads changes along with them.
+///
+/// Each period this VM sends a heartbeat to a few others in turn, so that its
+/// cost does not grow with the fleet. One that does not answer is suspected;
+/// unless it refutes that with a higher sequence number, it is gone after
+/// SuspectTime. A change travels with the next few heartbeats of everyone who
+/// learns of it.
+class Membership {
+public:
+  /// \param Self This entry VM.
+  /// \param Seeds Peer addresses to start from.
+  /// \param Seed Seed of the order in which peers are contacted.
+  Membership(Member Self, std::vector<std::string> Seeds, uint64_t Seed);
+
+  /// Adds a peer address to start from, unless it is known.
+  void addSeed(const std::string &Address);
+
+  /// \return Peer addresses to send a heartbeat to in this period.
+  std::vector<std::string> getTargets(Time Now);
+
+  /// \return Body of a heartbeat to \p Address.
+  HeartbeatBody makeHeartbeat(const std::string &Address);
+
+  /// A heartbeat has come in.
+  /// \return Body of the answer.
+  HeartbeatBody receiveHeartbeat(const HeartbeatBody &Body, Time Now);
+
+  /// A heartbeat was answered.
+  void receiveAnswer(const HeartbeatBody &Body, Time Now);
+
+  /// A heartbeat was not answered in time.
+  void noteFailure(const std::string &Address, Time Now);
+
+  /// Ends suspicions that have lasted.
+  void tick(Time Now);
+
+  /// Announces that this VM is leaving.
+  void leave();
+
+  /// Set what the next heartbeats tell of this VM.
+  void setRevision(Revision Value);
+  void setKeyEpoch(uint64_t Epoch);
+
+  const Member &getSelf() const { return Self_; }
+
+  /// \return This VM and all others that are not gone, ordered by name.
+  MemberList getMembers() const;
+
+  /// \return Others that are gone, ordered by name.
+  MemberList getGone() const;
+
+  /// \return Whether the list differs from the one at the last call.
+  bool takeChanged();
+
+private:
+  struct Peer {
+    Member Member_;          ///< Newest known record.
+    Time StateSince_;        ///< When its state last changed here.
+    unsigned SendsLeft_ = 0; ///< Heartbeats that still carry the record.
+  };
+
+  void merge(const Member &Update, Time Now);
+  void refresh(const Member &Sender);
+  static void addDoubt(const Member &Known, HeartbeatBody &Body);
+  void announceSelf();
+  std::vector<Member> takeUpdates();
+  unsigned getSpreadCount() const;
+  void refillRound();
+
+  Member Self_;                       ///< This entry VM.
+  unsigned SelfSendsLeft_ = 0;        ///< Heartbeats that carry our change.
+  std::set<std::string> Seeds_;       ///< Addresses not yet seen as members.
+  std::map<std::string, Peer> Peers_; ///< Others by name.
+  std::vector<std::string> Round_;    ///< Addresses left in this round.
+  std::mt19937_64 Random_;            ///< Orders each round.
+  bool Changed_ = true;               ///< Since the last takeChanged().
+};
+
+/// Picks the owner of a key among candidates by rendezvous hashing.
+/// \param Candidates Names; order does not matter.
+/// \return Index of the owner, or nothing if there are no candidates.
+std::optional<size_t> pickOwner(const std::vector<std::string> &Candidates,
+                                const std::string &Key);
+
+} // namespace cranberry
+
+#endif
--- /dev/null
+++ b/src/process/placement.cpp
@@ -0,0 +1,98 @@
+/// \file placement.cpp Which entry VM owns which backend server.
+#include "process/placement_func.h"
+
+#include "process/membership_base.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cranberry {
+
+namespace {
+
+constexpr Duration DefaultRegionLatency = milliseconds(50);
+constexpr unsigned FullWeight = 100;
+
+/// Names of serving members in a zone, or in a region if \p Zone is empty.
+std::vector<std::string> getCandidates(const Configuration &Config,
+                                       const MemberList &Members,
+                                       const std::string &Region,
+                                       const std::string &Zone) {
+  std::vector<std::string> Names;
+  for (const Member &M : Members)
+    if (isServing(M, Config) && M.Region_ == Region &&
+        (Zone.empty() || M.Zone_ == Zone))
+      Names.push_back(M.Vm_);
+  return Names;
+}
+
+Nearness getNearness(const Member &M, const std::string &Zone,
+                     const std::string &Region) {
+  if (M.Zone_ == Zone)
+    return Nearness::HomeZone;
+  if (M.Region_ == Region)
+    return Nearness::HomeRegion;
+  return Nearness::OtherRegion;
+}
+
+} // namespace
+
+bool isServing(const Member &Vm, const Configuration &Config) {
+  bool IsUp =
+      Vm.State_ == MemberState::Alive || Vm.State_ == MemberState::Suspect;
+  return IsUp && !Config.DrainedVms_.contains(Vm.Vm_);
+}
+
+std::vector<ServerOwner> getServerOwners(const Configuration &Config,
+                                         const MemberList &Members,
+                                         const std::string &Service) {
+  std::vector<ServerOwner> Owners;
+  for (const PoolConfig &Pool : Config.Pools_) {
+    const ZoneConfig *Zone = Config.findZone(Pool.Zone_);
+    if (Pool.Service_ != Service || !Zone)
+      continue;
+    std::vector<std::string> Names =
+        getCandidates(Config, Members, Zone->Region_, Zone->Name_);
+    if (Names.empty())
+      Names = getCandidates(Config, Members, Zone->Region_, "");
+    for (const std::string &Server : Pool.Servers_) {
+      std::optional<size_t> Owner = pickOwner(Names, Server);
+      Owners.push_back({Server, Owner ? Names[*Owner] : "", Pool.Slots_});
+    }
+  }
+  return Owners;
+}
+
+Duration getLatency(const Configuration &Config, const std::string &From,
+                    const std::string &To) {
+  if (From == To)
+    return Duration::zero();
+  const LinkConfig *Link = Config.findLink(From, To);
+  return Link ? Duration(milliseconds(Link->LatencyMs_)) : DefaultRegionLatency;
+}
+
+std::vector<LookupEntry> orderEntryVms(const Configuration &Config,
+                                       const MemberList &Members,
+                                       const std::string &HomeZone) {
+  const ZoneConfig *Zone = Config.findZone(HomeZone);
+  std::string Region = Zone ? Zone->Region_ : "";
+  std::vector<LookupEntry> Entries;
+  for (const Member &M : Members)
+    if (isServing(M, Config))
+      Entries.push_back({&M, getNearness(M, HomeZone, Region), 0});
+  auto Rank = [&](const LookupEntry &E) {
+    bool IsDoubted = E.Member_->State_ == MemberState::Suspect;
+    return std::tuple(IsDoubted, E.Nearness_,
+                      getLatency(Config, Region, E.Member_->Region_));
+  };
+  std::stable_sort(Entries.begin(), Entries.end(),
+                   [&](const LookupEntry &A, const LookupEntry &B) {
+                     return Rank(A) < Rank(B);
+                   });
+  for (LookupEntry &Entry : Entries)
+    if (Rank(Entry) == Rank(Entries.front()))
+      Entry.Weight_ = FullWeight;
+  return Entries;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/request/dispatcher.cpp
@@ -0,0 +1,524 @@
+/// \file dispatcher.cpp Decides where and when each request of a service runs.
+#include "request/dispatcher_base.h"
+
+#include "core/result_func.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace cranberry {
+
+namespace {
+
+constexpr double RetryBurst = 10;
+constexpr Duration FirstBackOff = milliseconds(10);
+constexpr Duration MaxBackOff = milliseconds(500);
+constexpr unsigned MaxBackOffDoublings = 6;
+constexpr int HedgeFactor = 3;   ///< Hedged after this many estimates.
+constexpr int SilentFactor = 30; ///< Silent after this many estimates.
+constexpr Duration MinSilence = seconds(2);
+constexpr Duration MinHedgeDelay = milliseconds(2);
+constexpr Duration GrantTtlNear = milliseconds(100);
+constexpr Duration GrantTtlFar = seconds(1);
+constexpr Duration AskWaitNear = milliseconds(250);
+constexpr Duration AskWaitFar = milliseconds(500);
+constexpr Duration AskTimeoutMargin = seconds(1);
+constexpr Duration AskPause = milliseconds(20);
+constexpr unsigned MaxAskSlots = 64;
+
+} // namespace
+
+Dispatcher::Dispatcher(const DispatcherLimits &Limits)
+    : Limits_(Limits), Queue_(Limits.Order_),
+      Budget_(Limits.RetryRatio_, RetryBurst) {}
+
+void Dispatcher::setLimits(const DispatcherLimits &Limits) { Limits_ = Limits; }
+
+void Dispatcher::setServers(const std::vector<ServerSpec> &Specs, Time Now) {
+  Pool_.setServers(Specs, Now);
+  pump(Now);
+}
+
+void Dispatcher::setPeers(std::vector<PeerSpec> Peers) {
+  std::stable_sort(
+      Peers.begin(), Peers.end(), [](const PeerSpec &A, const PeerSpec &B) {
+        return std::pair(A.Tier_, A.Latency_) < std::pair(B.Tier_, B.Latency_);
+      });
+  Peers_ = std::move(Peers);
+}
+
+void Dispatcher::setHealth(const std::string &Server, ServerHealth Health,
+                           Time Now) {
+  Pool_.setHealth(Server, Health, Now);
+  pump(Now);
+}
+
+RequestIndex Dispatcher::addRequest(RequestTraits Traits, Time Now) {
+  RequestIndex Index(NextRequest_++);
+  bool IsGranted = Traits.Grant_.isValid();
+  Request &R = Requests_[Index];
+  R.Traits_ = std::move(Traits);
+  if (R.Traits_.Deadline_ <= Now) {
+    finish(Index, ResultCode::DeadlineBeforeStart, {}, Now);
+    return Index;
+  }
+  if (IsGranted && !Ledger_.trySpend(R.Traits_.Grant_, Now)) {
+    R.Traits_.Grant_ = GrantIndex::invalid();
+    finish(Index, ResultCode::GrantStale, {}, Now);
+    return Index;
+  }
+  if (!IsGranted && Queue_.getSize() >= Limits_.MaxQueue_) {
+    finish(Index, ResultCode::QueueFull, {}, Now);
+    return Index;
+  }
+  Budget_.onRequest();
+  queue(Index);
+  pump(Now);
+  return Index;
+}
+
+void Dispatcher::queue(RequestIndex Index) {
+  Request &R = Requests_.at(Index);
+  R.Phase_ = Phase::Waiting;
+  if (R.Traits_.Grant_.isValid())
+    Queue_.pushFront(Index);
+  else
+    Queue_.push(Index, R.Traits_.Arrived_,
+                History_.getEstimate(R.Traits_.Route_));
+}
+
+unsigned Dispatcher::getFreeOwn(Time Now) {
+  unsigned Free = Pool_.getFreeSlots(Now);
+  unsigned Used = Pool_.getInUse() + Ledger_.getReserved(Now);
+  unsigned Room =
+      Limits_.MaxConcurrent_ > Used ? Limits_.MaxConcurrent_ - Used : 0;
+  unsigned Reserved = Ledger_.getReserved(Now);
+  unsigned Unreserved = Free > Reserved ? Free - Reserved : 0;
+  return std::min(Unreserved, Room);
+}
+
+void Dispatcher::pump(Time Now) {
+  startWaiting(Now);
+  if (Queue_.isEmpty()) {
+    for (const HeldGrant &Grant : Wallet_.collect(Now, true))
+      Actions_.push_back(ReleaseGrant{Grant.Vm_, Grant.Grant_});
+    if (Limits_.Hedges_)
+      hedge(Now);
+    answerAsks(Now);
+    return;
+  }
+  askPeers(Now);
+}
+
+void Dispatcher::startWaiting(Time Now) {
+  std::vector<RequestIndex> Blocked;
+  while (std::optional<RequestIndex> Index = Queue_.pop()) {
+    if (getFreeOwn(Now) > 0 && startAtServer(*Index, Now, "free slot"))
+      continue;
+    if (startAtPeer(*Index, Now))
+      continue;
+    Blocked.push_back(*Index);
+    bool OnlyThisOne = Requests_.at(*Index).AvoidServer_.isValid() ||
+                       !Requests_.at(*Index).AvoidVm_.empty() ||
+                       Requests_.at(*Index).Traits_.Grant_.isValid();
+    if (!OnlyThisOne)
+      break;
+  }
+  for (RequestIndex Index : Blocked)
+    queue(Index);
+}
+
+bool Dispatcher::startAtServer(RequestIndex Index, Time Now, const char *Why) {
+  Request &R = Requests_.at(Index);
+  std::optional<ServerIndex> Server = Pool_.pick(Now, R.AvoidServer_);
+  if (!Server && R.Phase_ == Phase::Waiting)
+    Server = Pool_.pick(Now, ServerIndex::invalid());
+  if (!Server)
+    return false;
+  AttemptIndex Attempt = addAttempt(Index, Now);
+  Attempts_.at(Attempt).Server_ = *Server;
+  Pool_.start(*Server);
+  Actions_.push_back(
+      StartServerAttempt{Attempt, Index, Pool_.getAddress(*Server), Why});
+  return true;
+}
+
+bool Dispatcher::startAtPeer(RequestIndex Index, Time Now) {
+  const Request &R = Requests_.at(Index);
+  if (R.Traits_.Grant_.isValid())
+    return false;
+  std::optional<HeldGrant> Grant = Wallet_.trySpend(Now, R.AvoidVm_);
+  if (!Grant)
+    return false;
+  AttemptIndex Attempt = addAttempt(Index, Now);
+  Attempts_.at(Attempt).Vm_ = Grant->Vm_;
+  Attempts_.at(Attempt).Grant_ = Grant->Grant_;
+  Actions_.push_back(StartPeerAttempt{Attempt, Index, Grant->Vm_, Grant->Grant_,
+                                      Grant->Incarnation_});
+  return true;
+}
+
+AttemptIndex Dispatcher::addAttempt(RequestIndex Index, Time Now) {
+  AttemptIndex Attempt(NextAttempt_++);
+  Request &R = Requests_.at(Index);
+  assert(R.Traits_.Repeatable_ || (R.Running_.empty() && !R.MayHaveRun_));
+  R.Phase_ = Phase::Running;
+  R.Running_.push_back(Attempt);
+  Attempts_[Attempt] = {Index,
+                        Now,
+                        History_.getEstimate(R.Traits_.Route_),
+                        ServerIndex::invalid(),
+                        "",
+                        0,
+                        false};
+  return Attempt;
+}
+
+void Dispatcher::askPeers(Time Now) {
+  for (const PeerSpec &Peer : Peers_) {
+    bool IsFar = Peer.Tier_ == PeerTier::OtherRegion;
+    if (IsFar && Now < getFarAskTime(Peer))
+      continue;
+    if (auto Out = AsksOut_.find(Peer.Vm_); Out != AsksOut_.end()) {
+      if (Now < Out->second)
+        continue;
+      AsksOut_.erase(Out);
+    }
+    if (auto After = AskAfter_.find(Peer.Vm_);
+        After != AskAfter_.end() && Now < After->second)
+      continue;
+    unsigned &Ramp = Ramps_[Peer.Vm_];
+    Ramp = std::clamp(Ramp, 1U, MaxAskSlots);
+    auto Waiting = static_cast<unsigned>(Queue_.getSize());
+    Duration Wait = IsFar ? AskWaitFar : AskWaitNear;
+    AsksOut_[Peer.Vm_] = Now + Wait + 2 * Peer.Latency_ + AskTimeoutMargin;
+    Actions_.push_back(AskPeer{Peer.Vm_, std::min(Waiting, Ramp), Wait});
+  }
+}
+
+Time Dispatcher::getFarAskTime(const PeerSpec &Peer) const {
+  bool HasNear =
+      Pool_.hasLiveServer() || Peers_.front().Tier_ != PeerTier::OtherRegion;
+  const Request &Next = Requests_.at(Queue_.getNext());
+  return HasNear ? Next.Traits_.Arrived_ + 2 * Peer.Latency_
+                 : Next.Traits_.Arrived_;
+}
+
+void Dispatcher::receiveAnswer(const SlotAnswer &Answer, Time Now) {
+  AsksOut_.erase(Answer.Vm_);
+  if (Answer.Slots_ == 0) {
+    Ramps_[Answer.Vm_] = 1;
+    AskAfter_[Answer.Vm_] = Now + AskPause;
+  } else {
+    Ramps_[Answer.Vm_] = std::min(MaxAskSlots, 2 * Ramps_[Answer.Vm_]);
+    Wallet_.add({Answer.Vm_, Answer.Grant_, Answer.Incarnation_, Answer.Slots_,
+                 Now + Answer.Ttl_});
+  }
+  pump(Now);
+}
+
+void Dispatcher::addAsk(SlotAsk Ask, Time Now) {
+  Asks_.push_back(Ask);
+  pump(Now);
+}
+
+unsigned Dispatcher::getGrantable(const SlotAsk &Ask, Time Now) {
+  unsigned Free = getFreeOwn(Now);
+  if (!Ask.OtherRegion_)
+    return std::min(Free, Ask.Wanted_);
+  unsigned Slots = std::min(Pool_.getUsableSlots(Now), Limits_.MaxConcurrent_);
+  auto Kept = static_cast<unsigned>(std::ceil(Limits_.Headroom_ * Slots));
+  return std::min(Free > Kept ? Free - Kept : 0, Ask.Wanted_);
+}
+
+void Dispatcher::answerAsks(Time Now) {
+  std::deque<SlotAsk> Open;
+  Open.swap(Asks_);
+  for (const SlotAsk &Ask : Open) {
+    unsigned Slots = getGrantable(Ask, Now);
+    if (Slots == 0 && Now < Ask.WaitUntil_)
+      Asks_.push_back(Ask);
+    else
+      answerAsk(Ask, Slots, Now);
+  }
+}
+
+void Dispatcher::answerAsk(const SlotAsk &Ask, unsigned Slots, Time Now) {
+  Duration Ttl = Ask.OtherRegion_ ? GrantTtlFar : GrantTtlNear;
+  GrantIndex Grant;
+  if (Slots > 0)
+    Grant = Ledger_.add(Slots, Ttl, Now);
+  Actions_.push_back(AnswerAsk{Ask.Ask_, Grant, Slots, Ttl});
+}
+
+void Dispatcher::releaseGrant(GrantIndex Grant, Time Now) {
+  Ledger_.release(Grant);
+  pump(Now);
+}
+
+Duration Dispatcher::getHedgeDelay(const Attempt &A) const {
+  return std::max(MinHedgeDelay, HedgeFactor * A.Expected_);
+}
+
+void Dispatcher::hedge(Time Now) {
+  std::vector<RequestIndex> Late;
+  for (const auto &[Index, A] : Attempts_) {
+    const Request &R = Requests_.at(A.Request_);
+    if (A.Abandoned_ || !R.Traits_.Repeatable_ || R.Running_.size() != 1 ||
+        R.Phase_ != Phase::Running || !A.Server_.isValid())
+      continue;
+    if (A.Expected_ > Duration::zero() && Now >= A.Started_ + getHedgeDelay(A))
+      Late.push_back(A.Request_);
+  }
+  std::sort(Late.begin(), Late.end());
+  for (RequestIndex Index : Late) {
+    if (getFreeOwn(Now) == 0)
+      return;
+    Request &R = Requests_.at(Index);
+    R.AvoidServer_ = Attempts_.at(R.Running_.front()).Server_;
+    if (!Pool_.pick(Now, R.AvoidServer_) || !Budget_.trySpend())
+      continue;
+    ++Hedges_;
+    startAtServer(Index, Now, "hedge");
+  }
+}
+
+void Dispatcher::recordEnd(const Attempt &A, ResultCode Code, Time Now) {
+  const Request &R = Requests_.at(A.Request_);
+  if (!A.Server_.isValid()) {
+    Wallet_.returnSlot(A.Grant_, A.Vm_);
+    if (Code == ResultCode::GrantStale || Code == ResultCode::PeerUnreachable ||
+        Code == ResultCode::PeerAnswerLost)
+      Wallet_.dropVm(A.Vm_);
+    if (Code != ResultCode::Ok)
+      AskAfter_[A.Vm_] = Now + AskPause;
+    return;
+  }
+  Pool_.finish(A.Server_);
+  Duration Ran = Now - A.Started_;
+  if (Code == ResultCode::Ok && !A.Abandoned_) {
+    Pool_.recordTiming(A.Server_, Ran, A.Expected_);
+    History_.record(R.Traits_.Route_, Ran);
+  } else if (Code == ResultCode::ServerRefused) {
+    Pool_.recordRefusal(A.Server_, Now);
+  } else if (Code == ResultCode::ServerConnectFailed) {
+    Pool_.recordConnectFailure(A.Server_);
+  } else if (Ran > A.Expected_) {
+    Pool_.recordTiming(A.Server_, Ran, A.Expected_);
+  }
+}
+
+void Dispatcher::finishAttempt(AttemptIndex Attempt, ResultCode Code,
+                               Time Now) {
+  auto Found = Attempts_.find(Attempt);
+  if (Found == Attempts_.end())
+    return;
+  struct Attempt Ended = std::move(Found->second);
+  recordEnd(Ended, Code, Now);
+  Attempts_.erase(Found);
+  Request &R = Requests_.at(Ended.Request_);
+  std::erase(R.Running_, Attempt);
+  if (R.Phase_ == Phase::Finished) {
+    if (R.Running_.empty()) {
+      if (!Ended.Abandoned_)
+        Actions_.push_back(SettleRequest{Ended.Request_, Code, Attempt});
+      removeRequest(Ended.Request_, Now);
+    }
+  } else if (Code == ResultCode::Ok) {
+    finish(Ended.Request_, Code, Attempt, Now);
+  } else {
+    if (getOutcome(Code) == Outcome::Unknown) {
+      R.MayHaveRun_ = true;
+      R.UnknownEnd_ = Code;
+    }
+    R.AvoidServer_ = Ended.Server_;
+    R.AvoidVm_ = Ended.Vm_;
+    ++R.Failures_;
+    if (R.Running_.empty())
+      retryOrFinish(Ended.Request_, Code, Now);
+  }
+  pump(Now);
+}
+
+void Dispatcher::retryOrFinish(RequestIndex Index, ResultCode Code, Time Now) {
+  Request &R = Requests_.at(Index);
+  bool DidNotRun = getOutcome(Code) == Outcome::NotRun;
+  if (R.MayHaveRun_ && !R.Traits_.Repeatable_)
+    return finish(Index, R.UnknownEnd_, {}, Now);
+  if (R.Traits_.Grant_.isValid())
+    return finish(Index, Code, {}, Now);
+  if (!DidNotRun && !Budget_.trySpend())
+    return finish(Index, ResultCode::RetryBudgetSpent, {}, Now);
+  backOff(Index, Now);
+}
+
+void Dispatcher::backOff(RequestIndex Index, Time Now) {
+  Request &R = Requests_.at(Index);
+  unsigned Doublings = std::min(R.Failures_ - 1, MaxBackOffDoublings);
+  Duration Pause = std::min(MaxBackOff, FirstBackOff * (1U << Doublings));
+  // Spread by the request's number, so that equal failures do not return as
+  // one burst.
+  constexpr uint64_t SpreadSteps = 16;
+  Pause += Pause * (Index.get() % SpreadSteps) / (2 * SpreadSteps);
+  R.Phase_ = Phase::BackOff;
+  R.ReadyAt_ = R.Failures_ == 1 ? Now : Now + Pause;
+  if (R.ReadyAt_ <= Now)
+    queue(Index);
+}
+
+void Dispatcher::cancelAttempts(Request &R) {
+  for (AttemptIndex Attempt : R.Running_) {
+    Attempts_.at(Attempt).Abandoned_ = true;
+    Actions_.push_back(CancelAttempt{Attempt});
+  }
+}
+
+void Dispatcher::finish(RequestIndex Index, ResultCode Code,
+                        AttemptIndex Answer, Time Now) {
+  Request &R = Requests_.at(Index);
+  assert(R.Phase_ != Phase::Finished);
+  if (getOutcome(Code) == Outcome::NotRun && R.MayHaveRun_)
+    Code = R.UnknownEnd_;
+  Queue_.remove(Index);
+  R.Phase_ = Phase::Finished;
+  if (R.Traits_.Repeatable_ || Code == ResultCode::Ok)
+    cancelAttempts(R);
+  Actions_.push_back(FinishRequest{Index, Code, Answer});
+  if (R.Running_.empty())
+    removeRequest(Index, Now);
+}
+
+void Dispatcher::removeRequest(RequestIndex Index, Time Now) {
+  const Request &R = Requests_.at(Index);
+  if (R.Traits_.Grant_.isValid())
+    Ledger_.returnSlot(R.Traits_.Grant_, Now);
+  Requests_.erase(Index);
+}
+
+void Dispatcher::cancelRequest(RequestIndex Index, Time Now) {
+  auto Found = Requests_.find(Index);
+  if (Found == Requests_.end() || Found->second.Phase_ == Phase::Finished)
+    return;
+  const Request &R = Found->second;
+  bool MayRun = !R.Running_.empty() || R.MayHaveRun_;
+  finish(Index,
+         MayRun ? ResultCode::Cancelled : ResultCode::DeadlineBeforeStart, {},
+         Now);
+  pump(Now);
+}
+
+void Dispatcher::expireDeadlines(Time Now) {
+  std::vector<RequestIndex> Expired;
+  std::vector<AttemptIndex> Silent;
+  for (const auto &[Index, R] : Requests_) {
+    if (R.Phase_ == Phase::Finished)
+      continue;
+    if (R.Traits_.Deadline_ <= Now)
+      Expired.push_back(Index);
+    else if (R.Traits_.Repeatable_)
+      for (AttemptIndex Attempt : R.Running_) {
+        const struct Attempt &A = Attempts_.at(Attempt);
+        if (Now >=
+            A.Started_ + std::max(MinSilence, SilentFactor * A.Expected_))
+          Silent.push_back(Attempt);
+      }
+  }
+  std::sort(Expired.begin(), Expired.end());
+  for (RequestIndex Index : Expired) {
+    const Request &R = Requests_.at(Index);
+    bool MayRun = !R.Running_.empty() || R.MayHaveRun_;
+    bool NeverTried = R.Failures_ == 0;
+    ResultCode NotRun = NeverTried && !Pool_.hasLiveServer() && Peers_.empty()
+                            ? ResultCode::NoServer
+                            : ResultCode::DeadlineBeforeStart;
+    finish(Index, MayRun ? ResultCode::DeadlineAfterStart : NotRun, {}, Now);
+  }
+  std::sort(Silent.begin(), Silent.end());
+  for (AttemptIndex Attempt : Silent) {
+    if (!Attempts_.contains(Attempt) || Attempts_.at(Attempt).Abandoned_)
+      continue;
+    Actions_.push_back(CancelAttempt{Attempt});
+    finishAttempt(Attempt, ResultCode::ConnectionSilent, Now);
+  }
+}
+
+void Dispatcher::endBackOffs(Time Now) {
+  std::vector<RequestIndex> Ready;
+  for (const auto &[Index, R] : Requests_)
+    if (R.Phase_ == Phase::BackOff && R.ReadyAt_ <= Now)
+      Ready.push_back(Index);
+  std::sort(Ready.begin(), Ready.end());
+  for (RequestIndex Index : Ready)
+    queue(Index);
+}
+
+void Dispatcher::tick(Time Now) {
+  expireDeadlines(Now);
+  endBackOffs(Now);
+  Wallet_.collect(Now, false);
+  pump(Now);
+  if (!Queue_.isEmpty()) {
+    std::deque<SlotAsk> Open;
+    Open.swap(Asks_);
+    for (const SlotAsk &Ask : Open)
+      if (Now < Ask.WaitUntil_)
+        Asks_.push_back(Ask);
+      else
+        answerAsk(Ask, 0, Now);
+  }
+}
+
+Actions Dispatcher::takeActions() {
+  Actions Taken;
+  Taken.swap(Actions_);
+  return Taken;
+}
+
+std::optional<Time> Dispatcher::getNextWake(Time Now) {
+  std::optional<Time> Next;
+  auto Consider = [&](Time At) {
+    if (!Next || At < *Next)
+      Next = At;
+  };
+  for (const auto &[Index, R] : Requests_) {
+    if (R.Phase_ == Phase::BackOff)
+      Consider(R.ReadyAt_);
+    if (R.Phase_ != Phase::Finished)
+      Consider(R.Traits_.Deadline_);
+  }
+  for (const auto &[Index, A] : Attempts_) {
+    const Request &R = Requests_.at(A.Request_);
+    if (A.Abandoned_ || !R.Traits_.Repeatable_)
+      continue;
+    Consider(A.Started_ + std::max(MinSilence, SilentFactor * A.Expected_));
+    Time Hedge = A.Started_ + getHedgeDelay(A);
+    if (Limits_.Hedges_ && A.Expected_ > Duration::zero() && Hedge > Now)
+      Consider(Hedge);
+  }
+  for (const SlotAsk &Ask : Asks_)
+    Consider(Ask.WaitUntil_);
+  if (!Queue_.isEmpty()) {
+    if (std::optional<Time> Change = Pool_.getNextChange(Now))
+      Consider(*Change);
+    for (const auto &[Vm, After] : AskAfter_)
+      if (After > Now)
+        Consider(After);
+    for (const PeerSpec &Peer : Peers_)
+      if (Time Ask = getFarAskTime(Peer);
+          Peer.Tier_ == PeerTier::OtherRegion && Ask > Now)
+        Consider(Ask);
+  }
+  if (!Queue_.isEmpty() || !Asks_.empty())
+    if (std::optional<Time> Expiry = Ledger_.getNextExpiry())
+      Consider(*Expiry);
+  return Next;
+}
+
+DispatcherStats Dispatcher::getStats(Time Now) {
+  return {Queue_.getSize(),          Pool_.getInUse(),
+          Pool_.getUsableSlots(Now), Ledger_.getReserved(Now),
+          Budget_.getSpent(),        Hedges_};
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/request/dispatcher_base.h
@@ -0,0 +1,186 @@
+/// \file dispatcher_base.h Decides where and when each request of a service
+/// runs.
+#ifndef CRANBERRY_REQUEST_DISPATCHER_BASE_H
+#define CRANBERRY_REQUEST_DISPATCHER_BASE_H
+
+#include "request/grant_ledger_base.h"
+#include "request/grant_wallet_base.h"
+#include "request/request_queue_base.h"
+#include "request/request_type.h"
+#include "request/retry_budget_base.h"
+#include "request/route_history_base.h"
+#include "request/server_pool_base.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <deque>
+
+namespace cranberry {
+
+/// Settings of a dispatcher; derived from one configuration.
+struct DispatcherLimits {
+  QueueOrder Order_ = ShortFirstOrder{}; ///< Order of waiting requests.
+  unsigned MaxQueue_ = 256;              ///< Most requests that wait.
+  unsigned MaxConcurrent_ = ~0U;         ///< This VM's share of the limit.
+  double Headroom_ = 0.1;   ///< Share of slots kept from other regions.
+  double RetryRatio_ = 0.1; ///< Added attempts for each request.
+  bool Hedges_ = true;      ///< Whether slow attempts get a second one.
+};
+
+/// Another entry VM's question for slots.
+struct SlotAsk {
+  AskIndex Ask_;             ///< Number of the question.
+  unsigned Wanted_ = 1;      ///< Most slots that the peer can use.
+  bool OtherRegion_ = false; ///< Whether headroom must be left.
+  Time WaitUntil_;           ///< When it must be answered at the latest.
+};
+
+/// What a peer answered to AskPeer.
+struct SlotAnswer {
+  std::string Vm_;           ///< Giver.
+  uint64_t Grant_ = 0;       ///< Giver's number of the grant.
+  uint64_t Incarnation_ = 0; ///< Giver's incarnation.
+  unsigned Slots_ = 0;       ///< Slots; none if it had no room.
+  Duration Ttl_{0};          ///< Life of the grant, without the asker's wait.
+};
+
+/// Figures for metrics and status.
+struct DispatcherStats {
+  size_t Queued_ = 0;        ///< Requests that wait.
+  unsigned InUse_ = 0;       ///< Attempts at own servers.
+  unsigned Usable_ = 0;      ///< Slots of own servers that take work.
+  unsigned Reserved_ = 0;    ///< Slots granted to peers and not in use.
+  unsigned long Added_ = 0;  ///< Retries and hedges so far.
+  unsigned long Hedges_ = 0; ///< Hedges so far.
+};
+
+/// Owns the queue of one service on one entry VM.
+///
+/// Events go in with the time at which they happened; the actions that follow
+/// are taken with takeActions(). Requests are bound to a server as late as
+/// possible: only when one of the own servers, or a slot that a peer has
+/// granted, is free. It holds at all times that
+///   attempts at own servers + reserved slots <= MaxConcurrent_,
+///   attempts at a server <= its slots.
+class Dispatcher {
+public:
+  explicit Dispatcher(const DispatcherLimits &Limits);
+
+  /// Takes over the settings of a new configuration.
+  void setLimits(const DispatcherLimits &Limits);
+  void setServers(const std::vector<ServerSpec> &Specs, Time Now);
+  void setPeers(std::vector<PeerSpec> Peers);
+  void setHealth(const std::string &Server, ServerHealth Health, Time Now);
+
+  /// A request has arrived.
+  /// \return Its index; a FinishRequest action ends it.
+  RequestIndex addRequest(RequestTraits Traits, Time Now);
+
+  /// The caller is gone: a repeatable request is cancelled everywhere.
+  void cancelRequest(RequestIndex Request, Time Now);
+
+  /// An attempt has ended; Ok means that the whole answer is here.
+  void finishAttempt(AttemptIndex Attempt, ResultCode Code, Time Now);
+
+  /// A peer asks for slots; an AnswerAsk action ends it.
+  void addAsk(SlotAsk Ask, Time Now);
+
+  /// A peer has answered AskPeer, or the question failed (no slots).
+  void receiveAnswer(const SlotAnswer &Answer, Time Now);
+
+  /// A peer gives a grant back.
+  void releaseGrant(GrantIndex Grant, Time Now);
+
+  /// Time has passed.
+  void tick(Time Now);
+
+  /// \return Actions since the last call, in order.
+  Actions takeActions();
+
+  /// \return When tick() must be called at the latest, if ever.
+  std::optional<Time> getNextWake(Time Now);
+
+  DispatcherStats getStats(Time Now);
+  std::vector<ServerStatus> getServerStatus(Time Now) const {
+    return Pool_.getStatus(Now);
+  }
+  const RouteHistory &getHistory() const { return History_; }
+  bool isIdle() const { return Requests_.empty(); }
+
+private:
+  enum class Phase : uint8_t {
+    Waiting,  ///< In the queue.
+    BackOff,  ///< Returns to the queue at ReadyAt_.
+    Running,  ///< At least one attempt is out.
+    Finished, ///< Ended for the caller; an attempt is still out.
+  };
+
+  struct Request {
+    RequestTraits Traits_;              ///< As it arrived.
+    Phase Phase_ = Phase::Waiting;      ///< Where it stands.
+    std::vector<AttemptIndex> Running_; ///< Attempts that are out.
+    Time ReadyAt_;                      ///< End of back-off.
+    unsigned Failures_ = 0;             ///< Attempts that failed.
+    bool MayHaveRun_ = false;           ///< Some attempt's end is unknown.
+    ResultCode UnknownEnd_ = ResultCode::ServerAnswerLost; ///< If MayHaveRun_.
+    std::string AvoidVm_;     ///< Peer that refused last.
+    ServerIndex AvoidServer_; ///< Server that failed last.
+  };
+
+  struct Attempt {
+    RequestIndex Request_;   ///< Its request.
+    Time Started_;           ///< When it was started.
+    Duration Expected_{0};   ///< Estimate at that time.
+    ServerIndex Server_;     ///< Own server; invalid if at a peer.
+    std::string Vm_;         ///< Peer, if at a peer.
+    uint64_t Grant_ = 0;     ///< Peer's grant.
+    bool Abandoned_ = false; ///< Cancelled; waits for its end.
+  };
+
+  unsigned getFreeOwn(Time Now);
+  void pump(Time Now);
+  void startWaiting(Time Now);
+  bool startAtServer(RequestIndex Index, Time Now, const char *Why);
+  bool startAtPeer(RequestIndex Index, Time Now);
+  AttemptIndex addAttempt(RequestIndex Index, Time Now);
+  void askPeers(Time Now);
+  void answerAsks(Time Now);
+  void answerAsk(const SlotAsk &Ask, unsigned Slots, Time Now);
+  unsigned getGrantable(const SlotAsk &Ask, Time Now);
+  void hedge(Time Now);
+  void expireDeadlines(Time Now);
+  void endBackOffs(Time Now);
+  void retryOrFinish(RequestIndex Index, ResultCode Code, Time Now);
+  void queue(RequestIndex Index);
+  void backOff(RequestIndex Index, Time Now);
+  void finish(RequestIndex Index, ResultCode Code, AttemptIndex Answer,
+              Time Now);
+  void cancelAttempts(Request &R);
+  void removeRequest(RequestIndex Index, Time Now);
+  void recordEnd(const Attempt &A, ResultCode Code, Time Now);
+  Time getFarAskTime(const PeerSpec &Peer) const;
+  Duration getHedgeDelay(const Attempt &A) const;
+
+  DispatcherLimits Limits_;     ///< Settings.
+  ServerPool Pool_;             ///< Own backend servers.
+  RequestQueue Queue_;          ///< Waiting requests.
+  RouteHistory History_;        ///< Expected running times.
+  RetryBudget Budget_;          ///< Retries after unknown ends, and hedges.
+  GrantLedger Ledger_;          ///< Slots granted to peers.
+  GrantWallet Wallet_;          ///< Slots granted by peers.
+  std::vector<PeerSpec> Peers_; ///< By distance.
+  absl::flat_hash_map<std::string, Time> AsksOut_;   ///< Open AskPeer, by VM.
+  absl::flat_hash_map<std::string, Time> AskAfter_;  ///< Earliest next AskPeer.
+  absl::flat_hash_map<std::string, unsigned> Ramps_; ///< Slots next asked for.
+  std::deque<SlotAsk> Asks_;                         ///< Peers' open questions.
+  absl::flat_hash_map<RequestIndex, Request> Requests_; ///< Live requests.
+  absl::flat_hash_map<AttemptIndex, Attempt> Attempts_; ///< Live attempts.
+  Actions Actions_;                                     ///< Not taken yet.
+  uint64_t NextRequest_ = 1; ///< Number of the next request.
+  uint64_t NextAttempt_ = 1; ///< Number of the next attempt.
+  unsigned long Hedges_ = 0; ///< Hedges so far.
+};
+
+} // namespace cranberry
+
+#endif
--- /dev/null
+++ b/src/request/idempotency_key_func.h
@@ -0,0 +1,28 @@
+/// \file idempotency_key_func.h Keys of requests that may not be repeated.
+#ifndef CRANBERRY_REQUEST_IDEMPOTENCY_KEY_FUNC_H
+#define CRANBERRY_REQUEST_IDEMPOTENCY_KEY_FUNC_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cranberry {
+
+/// Key of a request that may not be repeated.
+///
+/// Written as "vm/incarnation/epoch/nonce". The caller makes it from a look-up
+/// answer; only that incarnation of that entry VM may start the request.
+struct IdempotencyKey {
+  std::string Vm_;           ///< Home entry VM.
+  uint64_t Incarnation_ = 0; ///< Incarnation of the home VM's process.
+  uint64_t Epoch_ = 0;       ///< Home VM's key epoch when the key was made.
+  std::string Nonce_;        ///< Caller's random part, 8 to 64 characters.
+};
+
+/// \return The key, or nothing if \p Text is malformed.
+std::optional<IdempotencyKey> parseIdempotencyKey(std::string_view Text);
+
+} // namespace cranberry
+
+#endif
--- /dev/null
+++ b/src/request/route_history_base.h
@@ -0,0 +1,37 @@
+/// \file route_history_base.h Expected running time of each route.
+#ifndef CRANBERRY_REQUEST_ROUTE_HISTORY_BASE_H
+#define CRANBERRY_REQUEST_ROUTE_HISTORY_BASE_H
+
+#include "core/time_type.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <string>
+#include <string_view>
+
+namespace cranberry {
+
+/// Learns how long requests of a route run, from completed attempts.
+class RouteHistory {
+public:
+  /// Notes a completed attempt.
+  void record(const std::string &Route, Duration Ran);
+
+  /// \return Expected running time; the typical one for an unknown route.
+  Duration getEstimate(const std::string &Route) const;
+
+  /// \return Running time that half of all requests stay under, roughly.
+  Duration getTypical() const { return Typical_; }
+
+private:
+  absl::flat_hash_map<std::string, Duration> Means_; ///< Smoothed, by route.
+  Duration Typical_{0};                              ///< Running median.
+};
+
+/// Derives the route of a request: its method and path with every segment
+/// that holds a digit replaced, so that identifiers do not split a route.
+std::string makeRoute(std::string_view Method, std::string_view Path);
+
+} // namespace cranberry
+
+#endif
--- /dev/null
+++ b/src/request/server_pool.cpp
@@ -0,0 +1,186 @@
+/// \file server_pool.cpp Backend servers of one service and their slots.
+#include "request/server_pool_base.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace cranberry {
+
+namespace {
+
+constexpr Duration RampStep = milliseconds(500);
+constexpr Duration FirstRest = milliseconds(50);
+constexpr unsigned MaxRestDoublings = 6;
+constexpr double SlowRatio = 2.2; ///< Slow when over this many medians.
+constexpr double MaxSample = 5.0; ///< One straggler is not a slow server.
+constexpr double SampleWeight = 0.2;
+
+} // namespace
+
+void ServerPool::setServers(const std::vector<ServerSpec> &Specs, Time Now) {
+  for (Server &Known : Servers_)
+    Known.Listed_ = false;
+  bool IsFirstList = Servers_.empty();
+  for (const ServerSpec &Spec : Specs) {
+    auto Known =
+        std::find_if(Servers_.begin(), Servers_.end(), [&](const Server &S) {
+          return S.Address_ == Spec.Address_;
+        });
+    if (Known == Servers_.end()) {
+      Servers_.emplace_back();
+      Known = Servers_.end() - 1;
+      Known->Address_ = Spec.Address_;
+      Known->RampFrom_ = IsFirstList ? Time::min() : Now;
+    }
+    Known->Listed_ = true;
+    Known->Slots_ = Spec.Slots_;
+    Known->Draining_ = Spec.Draining_;
+  }
+}
+
+void ServerPool::setHealth(const std::string &Address, ServerHealth Health,
+                           Time Now) {
+  for (Server &S : Servers_) {
+    if (S.Address_ != Address)
+      continue;
+    if (S.Health_ == ServerHealth::Down && Health == ServerHealth::Up)
+      S.RampFrom_ = Now;
+    S.Health_ = Health;
+  }
+}
+
+bool ServerPool::isEligible(const Server &S) const {
+  return S.Listed_ && !S.Draining_ && S.Health_ == ServerHealth::Up;
+}
+
+bool ServerPool::isSlow(const Server &S) const {
+  return S.Slowness_ > SlowRatio * Median_;
+}
+
+bool ServerPool::isSlow(ServerIndex Server) const {
+  return isSlow(Servers_[Server.get()]);
+}
+
+unsigned ServerPool::getUsable(const Server &S, Time Now) const {
+  if (!isEligible(S) || Now < S.RestUntil_)
+    return 0;
+  if (isSlow(S))
+    return 1;
+  if (S.RampFrom_ == Time::min())
+    return S.Slots_;
+  constexpr int64_t MaxDoublings = 16;
+  int64_t Steps =
+      std::min<int64_t>((Now - S.RampFrom_) / RampStep, MaxDoublings);
+  return std::min(S.Slots_, 1U << static_cast<unsigned>(Steps));
+}
+
+std::optional<ServerIndex> ServerPool::pick(Time Now, ServerIndex Avoid) const {
+  std::optional<size_t> Best;
+  auto Score = [&](const Server &S) {
+    return std::pair(isSlow(S), static_cast<double>(S.InUse_) / S.Slots_);
+  };
+  for (size_t I = 0; I < Servers_.size(); ++I) {
+    const Server &S = Servers_[I];
+    if (S.InUse_ >= getUsable(S, Now) || (Avoid.isValid() && I == Avoid.get()))
+      continue;
+    if (!Best || Score(S) < Score(Servers_[*Best]))
+      Best = I;
+  }
+  if (!Best)
+    return std::nullopt;
+  return ServerIndex(static_cast<uint16_t>(*Best));
+}
+
+void ServerPool::start(ServerIndex Server) {
+  ++Servers_[Server.get()].InUse_;
+  ++InUse_;
+}
+
+void ServerPool::finish(ServerIndex Server) {
+  assert(Servers_[Server.get()].InUse_ > 0);
+  --Servers_[Server.get()].InUse_;
+  --InUse_;
+}
+
+double ServerPool::getMedianSlowness() const {
+  std::vector<double> Values;
+  for (const Server &S : Servers_)
+    if (isEligible(S))
+      Values.push_back(S.Slowness_);
+  if (Values.empty())
+    return 1.0;
+  auto Middle = Values.begin() + static_cast<std::ptrdiff_t>(Values.size() / 2);
+  std::nth_element(Values.begin(), Middle, Values.end());
+  return *Middle;
+}
+
+void ServerPool::recordTiming(ServerIndex Server, Duration Ran,
+                              Duration Expected) {
+  ServerPool::Server &S = Servers_[Server.get()];
+  S.Refusals_ = 0;
+  if (Expected <= Duration::zero())
+    return;
+  double Sample =
+      std::min(MaxSample, static_cast<double>(Ran.count()) / Expected.count());
+  S.Slowness_ += SampleWeight * (Sample - S.Slowness_);
+  Median_ = std::max(getMedianSlowness(), 0.1);
+}
+
+void ServerPool::recordRefusal(ServerIndex Server, Time Now) {
+  ServerPool::Server &S = Servers_[Server.get()];
+  unsigned Doublings = std::min(S.Refusals_, MaxRestDoublings);
+  S.RestUntil_ = std::max(S.RestUntil_, Now + FirstRest * (1U << Doublings));
+  ++S.Refusals_;
+}
+
+void ServerPool::recordConnectFailure(ServerIndex Server) {
+  Servers_[Server.get()].Health_ = ServerHealth::Down;
+}
+
+unsigned ServerPool::getFreeSlots(Time Now) const {
+  unsigned Free = 0;
+  for (const Server &S : Servers_)
+    Free += std::max(getUsable(S, Now), S.InUse_) - S.InUse_;
+  return Free;
+}
+
+unsigned ServerPool::getUsableSlots(Time Now) const {
+  unsigned Usable = 0;
+  for (const Server &S : Servers_)
+    Usable += getUsable(S, Now);
+  return Usable;
+}
+
+std::vector<ServerStatus> ServerPool::getStatus(Time Now) const {
+  std::vector<ServerStatus> Status;
+  for (const Server &S : Servers_)
+    if (S.Listed_ || S.InUse_ > 0)
+      Status.push_back(
+          {S.Address_, S.Slots_, getUsable(S, Now), S.InUse_,
+           S.Draining_ || S.Health_ == ServerHealth::Draining || !S.Listed_,
+           S.Health_ == ServerHealth::Down, isSlow(S)});
+  return Status;
+}
+
+bool ServerPool::hasLiveServer() const {
+  return std::any_of(Servers_.begin(), Servers_.end(),
+                     [this](const Server &S) { return isEligible(S); });
+}
+
+std::optional<Time> ServerPool::getNextChange(Time Now) const {
+  std::optional<Time> Next;
+  auto Consider = [&](Time At) {
+    if (At > Now && (!Next || At < *Next))
+      Next = At;
+  };
+  for (const Server &S : Servers_) {
+    if (!isEligible(S))
+      continue;
+    Consider(S.RestUntil_);
+    if (S.RampFrom_ != Time::min() && getUsable(S, Now) < S.Slots_)
+      Consider(S.RampFrom_ + ((Now - S.RampFrom_) / RampStep + 1) * RampStep);
+  }
+  return Next;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/version/configuration.cpp
@@ -0,0 +1,168 @@
+/// \file configuration.cpp Building a configuration out of objects.
+#include "version/configuration_func.h"
+
+#include "core/result_func.h"
+#include "version/client_block_func.h"
+#include "version/object_func.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+using nlohmann::json;
+
+namespace cranberry {
+
+namespace {
+
+template <typename T>
+const T *findByName(const std::vector<T> &Entries, const std::string &Name) {
+  auto Found = std::find_if(Entries.begin(), Entries.end(),
+                            [&](const T &E) { return E.Name_ == Name; });
+  return Found == Entries.end() ? nullptr : &*Found;
+}
+
+/// Fills one configuration, object by object in the order of their kinds.
+class Builder {
+public:
+  explicit Builder(Configuration &Target) : Target_(Target) {}
+
+  void add(const ObjectId &Id, const json &Body) {
+    switch (Id.Kind_) {
+    case ObjectKind::Region:
+      Target_.Regions_.push_back(
+          {Id.Name_, Body.value("headroom", RegionConfig().Headroom_)});
+      return;
+    case ObjectKind::Zone:
+      Target_.Zones_.push_back(
+          {Id.Name_, Body.at("region"), Body.value("entryVms", 1U)});
+      return;
+    case ObjectKind::Service:
+      return addService(Id.Name_, Body);
+    case ObjectKind::Pool:
+      Target_.Pools_.push_back({Body.at("service"), Body.at("zone"),
+                                Body.at("slots"), Body.at("servers")});
+      return;
+    case ObjectKind::Link:
+      return addLink(Body);
+    case ObjectKind::Limit:
+      Target_.Limits_.push_back(
+          {Body.at("region"), Body.at("service"), Body.at("maxConcurrent")});
+      return;
+    case ObjectKind::Blocks:
+      return addBlocks(Body);
+    case ObjectKind::Drain:
+      if (Body.contains("server"))
+        Target_.DrainedServers_.insert(Body.at("server"));
+      else
+        Target_.DrainedVms_.insert(Body.at("vm"));
+      return;
+    case ObjectKind::Status:
+      return;
+    }
+  }
+
+  void finish() { Target_.Blocks_ = ClientBlockTable(std::move(Routes_)); }
+
+private:
+  void addService(const std::string &Name, const json &Body) {
+    ServiceConfig Service;
+    Service.Name_ = Name;
+    if (Body.contains("repeatableMethods"))
+      Service.RepeatableMethods_ = Body.at("repeatableMethods");
+    if (Body.contains("deadlineMs"))
+      Service.Deadline_ = milliseconds(Body.at("deadlineMs").get<int64_t>());
+    Service.MaxQueue_ = Body.value("maxQueue", Service.MaxQueue_);
+    Target_.Services_.push_back(std::move(Service));
+  }
+
+  void addLink(const json &Body) {
+    constexpr double BytesPerKbit = 1000.0 / 8.0;
+    Target_.Links_.push_back({Body.at("from"), Body.at("to"),
+                              Body.at("capKbit").get<double>() * BytesPerKbit,
+                              Body.value("latencyMs", 0U)});
+  }
+
+  void addBlocks(const json &Body) {
+    for (const json &Entry : Body.at("blocks")) {
+      std::optional<ClientBlock> Block =
+          parseClientBlock(Entry.at("prefix").get_ref<const std::string &>());
+      const std::string &Name = Entry.at("zone").get_ref<const std::string &>();
+      if (const ZoneConfig *Zone = Target_.findZone(Name); Zone && Block)
+        Routes_.push_back({*Block, ZoneIndex(static_cast<uint16_t>(
+                                       Zone - Target_.Zones_.data()))});
+    }
+  }
+
+  Configuration &Target_;                ///< Being filled.
+  std::vector<ClientBlockRoute> Routes_; ///< Blocks of all objects so far.
+};
+
+} // namespace
+
+const ServiceConfig *Configuration::findService(const std::string &Name) const {
+  return findByName(Services_, Name);
+}
+
+const RegionConfig *Configuration::findRegion(const std::string &Name) const {
+  return findByName(Regions_, Name);
+}
+
+const ZoneConfig *Configuration::findZone(const std::string &Name) const {
+  return findByName(Zones_, Name);
+}
+
+const LinkConfig *Configuration::findLink(const std::string &From,
+                                          const std::string &To) const {
+  for (const LinkConfig &Link : Links_)
+    if (Link.From_ == From && Link.To_ == To)
+      return &Link;
+  return nullptr;
+}
+
+const LimitConfig *Configuration::findLimit(const std::string &Region,
+                                            const std::string &Service) const {
+  for (const LimitConfig &Limit : Limits_)
+    if (Limit.Region_ == Region && Limit.Service_ == Service)
+      return &Limit;
+  return nullptr;
+}
+
+unsigned Configuration::getSlotCount(const std::string &Service,
+                                     const std::string &Region) const {
+  unsigned Count = 0;
+  for (const PoolConfig &Pool : Pools_) {
+    const ZoneConfig *Zone = findZone(Pool.Zone_);
+    if (Pool.Service_ == Service && Zone && Zone->Region_ == Region)
+      Count += Pool.Slots_ * static_cast<unsigned>(Pool.Servers_.size());
+  }
+  return Count;
+}
+
+unsigned Configuration::getEntryVmCount(const std::string &Region) const {
+  unsigned Count = 0;
+  for (const ZoneConfig &Zone : Zones_)
+    if (Zone.Region_ == Region)
+      Count += Zone.EntryVms_;
+  return Count;
+}
+
+ConfigurationPtr buildConfiguration(const ObjectStore &Store) {
+  auto Result = std::make_shared<Configuration>();
+  Result->Revision_ = Store.getRevision();
+  Builder Build(*Result);
+  auto Exists = [&](const ObjectId &Id) { return Store.find(Id) != nullptr; };
+  for (const auto &[Id, Known] : Store.getObjects()) {
+    if (Known.Deleted_ || Id.Kind_ == ObjectKind::Status)
+      continue;
+    Reason Why;
+    if (std::optional<json> Body = parseObject(Id, Known.Body_, Exists, Why))
+      Build.add(Id, *Body);
+    else
+      Result->Ignored_.push_back({Id, formatReason(Why)});
+  }
+  Build.finish();
+  return Result;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/version/object_store.cpp
@@ -0,0 +1,37 @@
+/// \file object_store.cpp Newest known version of every object.
+#include "version/object_store_base.h"
+
+namespace cranberry {
+
+bool ObjectStore::apply(const ObjectChanges &Changes) {
+  bool Moved = false;
+  for (const Object &Change : Changes.Objects_) {
+    Object &Known = Objects_[Change.Id_];
+    if (Known.Revision_ >= Change.Revision_)
+      continue;
+    Known = Change;
+    Moved = true;
+  }
+  if (Changes.Upto_ <= Revision_)
+    return Moved;
+  Revision_ = Changes.Upto_;
+  return true;
+}
+
+ObjectChanges ObjectStore::getChangesSince(Revision Since) const {
+  ObjectChanges Changes;
+  Changes.Upto_ = Revision_;
+  for (const auto &[Id, Known] : Objects_)
+    if (Known.Revision_ > Since)
+      Changes.Objects_.push_back(Known);
+  return Changes;
+}
+
+const Object *ObjectStore::find(const ObjectId &Id) const {
+  auto Found = Objects_.find(Id);
+  if (Found == Objects_.end() || Found->second.Deleted_)
+    return nullptr;
+  return &Found->second;
+}
+
+} // namespace cranberry
