Change: [Request] Bound retries and hedges by running time, find slow servers by late share

Two causes, told apart by switching each off: (1) a server was called slow after two stragglers and lost all slots but one; (2) attempts counted as silent after 2 s were long work, cancelled and run again, and a budget in attempts let 2% more attempts add 20% more load. Ruled out: queue order (FIFO was as bad), lending (zones alone were as bad). After: budget in running time, hedges yield to waiting work, silence judged against the longest run of the route, slowness by the share of late attempts.

--- /dev/null
+++ b/bench/placement_bench.cpp
@@ -0,0 +1,313 @@
+/// \file placement_bench.cpp Placing of work against its baselines.
+///
+/// Virtual time and fixed seeds, so that every run prints the same. Exits with
+/// 1 if a bound is broken; the bounds are the project's targets.
+#include "test/support/virtual_region_base.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace cranberry;
+using namespace cranberry::test;
+
+namespace {
+
+constexpr uint64_t Seed = 20261204;
+constexpr unsigned Arrivals = 40000;
+constexpr double MeanMicros = 25000;
+constexpr double StragglerShare = 0.02;
+constexpr double StragglerFactor = 20;
+constexpr Duration NearHop = Duration(1400);
+constexpr Duration FarHop = milliseconds(55);
+
+/// One arrival; the same list is given to every variant.
+struct Work {
+  Duration Gap_;    ///< Since the arrival before.
+  Duration Length_; ///< Running time.
+  bool IsShort_;    ///< Not a straggler.
+};
+
+/// Percentiles in units of the mean length.
+struct Figures {
+  double ShortWaitP99_ = 0; ///< Wait of short work.
+  double P50_ = 0;          ///< Latency.
+  double P99_ = 0;          ///< Latency.
+  double P999_ = 0;         ///< Latency.
+  double Added_ = 0;        ///< Added attempts for each request.
+};
+
+/// What is measured.
+struct Setting {
+  const char *Name_;    ///< For the table.
+  unsigned Zones_;      ///< Zones in one region.
+  unsigned Servers_;    ///< Servers in a zone.
+  unsigned Slots_;      ///< Slots of a server.
+  double Load_;         ///< Share of all slots.
+  bool IsLongKnown_;    ///< Whether a route tells long work.
+  unsigned Slowed_ = 0; ///< Servers slowed 5 times for 10 s.
+};
+
+std::vector<Work> makeWork(const Setting &S) {
+  std::mt19937_64 Random(Seed);
+  std::exponential_distribution<double> Exponential(1.0);
+  std::uniform_real_distribution<double> Share(0, 1);
+  double MeanWork = MeanMicros * (1 + StragglerShare * (StragglerFactor - 1));
+  double Slots = S.Zones_ * S.Servers_ * S.Slots_;
+  double GapMicros = MeanWork / (Slots * S.Load_);
+  std::vector<Work> All;
+  for (unsigned I = 0; I < Arrivals; ++I) {
+    bool IsShort = Share(Random) >= StragglerShare;
+    double Length =
+        MeanMicros * Exponential(Random) * (IsShort ? 1 : StragglerFactor);
+    All.push_back(
+        {Duration(static_cast<int64_t>(GapMicros * Exponential(Random))),
+         Duration(static_cast<int64_t>(Length) + 1), IsShort});
+  }
+  return All;
+}
+
+double getPercentile(std::vector<double> &Values, double Share) {
+  if (Values.empty())
+    return 0;
+  auto At =
+      Values.begin() + static_cast<std::ptrdiff_t>(
+                           Share * static_cast<double>(Values.size() - 1));
+  std::nth_element(Values.begin(), At, Values.end());
+  return *At;
+}
+
+Figures summarize(std::vector<double> &Latencies, std::vector<double> &Waits) {
+  return {getPercentile(Waits, 0.99), getPercentile(Latencies, 0.5),
+          getPercentile(Latencies, 0.99), getPercentile(Latencies, 0.999), 0};
+}
+
+bool isSlowedAt(const Setting &S, unsigned Server, Time Now, Time Start) {
+  return Server < S.Slowed_ && Now >= Start + seconds(5) &&
+         Now < Start + seconds(15);
+}
+
+constexpr double SlowFactor = 5;
+
+/// Baselines: a server is bound at arrival and has its own queue.
+enum class Baseline : uint8_t { RoundRobin, Random, TwoChoices, LeastInFlight };
+
+Figures runBaseline(const Setting &S, Baseline Policy) {
+  struct Server {
+    unsigned Running_ = 0;
+    std::deque<std::pair<Time, const Work *>> Queue_;
+  };
+  VirtualTime Clock;
+  Time Start = Clock.now();
+  std::mt19937_64 Random(Seed + 1);
+  std::vector<Work> All = makeWork(S);
+  // A zone's own servers only: without grants a zone does not reach others.
+  std::vector<Server> Servers(S.Servers_ * S.Zones_);
+  std::vector<double> Latencies;
+  std::vector<double> Waits;
+  std::function<void(unsigned)> Pump = [&](unsigned I) {
+    Server &Each = Servers[I];
+    while (Each.Running_ < S.Slots_ && !Each.Queue_.empty()) {
+      auto [Arrived, Job] = Each.Queue_.front();
+      Each.Queue_.pop_front();
+      ++Each.Running_;
+      double Factor = isSlowedAt(S, I, Clock.now(), Start) ? SlowFactor : 1;
+      Duration Runs(static_cast<int64_t>(
+          static_cast<double>(Job->Length_.count()) * Factor));
+      Clock.after(Runs, [&, I, Arrived = Arrived, Job = Job] {
+        --Servers[I].Running_;
+        auto Latency = static_cast<double>((Clock.now() - Arrived).count());
+        Latencies.push_back(Latency / MeanMicros);
+        if (Job->IsShort_)
+          Waits.push_back(
+              (Latency - static_cast<double>(Job->Length_.count())) /
+              MeanMicros);
+        Pump(I);
+      });
+    }
+  };
+  auto Load = [&](unsigned I) {
+    return Servers[I].Running_ + Servers[I].Queue_.size();
+  };
+  unsigned Next = 0;
+  unsigned Zone = 0;
+  auto Pick = [&]() -> unsigned {
+    unsigned First = Zone * S.Servers_;
+    unsigned A = First + static_cast<unsigned>(Random() % S.Servers_);
+    unsigned B = First + static_cast<unsigned>(Random() % S.Servers_);
+    switch (Policy) {
+    case Baseline::RoundRobin:
+      return First + Next++ / S.Zones_ % S.Servers_;
+    case Baseline::Random:
+      return A;
+    case Baseline::TwoChoices:
+      return Load(A) <= Load(B) ? A : B;
+    case Baseline::LeastInFlight:
+      break;
+    }
+    unsigned Best = First;
+    for (unsigned I = First; I < First + S.Servers_; ++I)
+      if (Load(I) < Load(Best))
+        Best = I;
+    return Best;
+  };
+  Time At = Start;
+  for (const Work &Job : All) {
+    At += Job.Gap_;
+    Clock.at(At, [&] {
+      unsigned I = Pick();
+      Zone = (Zone + 1) % S.Zones_;
+      Servers[I].Queue_.emplace_back(Clock.now(), &Job);
+      Pump(I);
+    });
+  }
+  while (Clock.step()) {
+  }
+  return summarize(Latencies, Waits);
+}
+
+Figures runOurs(const Setting &S, bool Lends, QueueOrder Order, bool Hedges) {
+  VirtualRegion World(Seed + 2);
+  DispatcherLimits Limits;
+  Limits.Order_ = Order;
+  Limits.Hedges_ = Hedges;
+  Limits.MaxQueue_ = Arrivals;
+  for (unsigned Z = 0; Z < S.Zones_; ++Z)
+    World.addZone("z" + std::to_string(Z), "r", S.Servers_, S.Slots_, Limits);
+  if (Lends)
+    World.connect(NearHop, FarHop);
+  Time Start = World.time().now();
+  for (unsigned I = 0; I < S.Slowed_; ++I) {
+    std::string Name = "z" + std::to_string(I / S.Servers_) + ":" +
+                       std::to_string(I % S.Servers_);
+    World.time().at(Start + seconds(5),
+                    [&World, Name] { World.setSlow(Name, SlowFactor); });
+    World.time().at(Start + seconds(15),
+                    [&World, Name] { World.setSlow(Name, 1); });
+  }
+  std::vector<Work> All = makeWork(S);
+  Time At = Start;
+  size_t Zone = 0;
+  for (const Work &Job : All) {
+    At += Job.Gap_;
+    World.time().at(At, [&, Zone] {
+      FakeRequest Request;
+      Request.Length_ = Job.Length_;
+      Request.IsShort_ = Job.IsShort_;
+      Request.Route_ = S.IsLongKnown_ && !Job.IsShort_ ? "long" : "short";
+      World.arrive(Zone, Request);
+    });
+    Zone = (Zone + 1) % S.Zones_;
+  }
+  World.time().runUntil(At + seconds(120));
+  std::vector<double> Latencies;
+  std::vector<double> Waits;
+  for (const FakeEnd &End : World.getEnds()) {
+    Latencies.push_back(static_cast<double>(End.Latency_.count()) / MeanMicros);
+    if (End.IsShort_)
+      Waits.push_back(static_cast<double>(End.Wait_.count()) / MeanMicros);
+  }
+  Figures Result = summarize(Latencies, Waits);
+  Result.Added_ = static_cast<double>(World.getStarts()) / Arrivals - 1;
+  if (World.getEnds().size() != Arrivals)
+    std::printf("!! %zu of %u requests ended\n", World.getEnds().size(),
+                Arrivals);
+  return Result;
+}
+
+void print(const char *Variant, const Figures &F) {
+  std::printf("  %-34s %10.2f %8.2f %8.2f %8.2f %8.3f\n", Variant,
+              F.ShortWaitP99_, F.P50_, F.P99_, F.P999_, F.Added_);
+}
+
+/// Prints a bound's verdict.
+/// \return 1 if it is broken.
+int check(const char *What, double Value, double Reference, double Bound) {
+  double Ratio = Reference > 0 ? Value / Reference : 0;
+  bool IsHeld = Ratio <= Bound;
+  std::printf("  %s %s: %.2f / %.2f = %.3f, bound %.2f\n",
+              IsHeld ? "held  " : "BROKEN", What, Value, Reference, Ratio,
+              Bound);
+  return IsHeld ? 0 : 1;
+}
+
+void printHeader(const Setting &S) {
+  std::printf("\n%s: %u zone(s) x %u servers x %u slots, load %.0f%%, long "
+              "work %s%s\n  %-34s %10s %8s %8s %8s %8s\n",
+              S.Name_, S.Zones_, S.Servers_, S.Slots_, 100 * S.Load_,
+              S.IsLongKnown_ ? "known by route" : "not known",
+              S.Slowed_ ? ", 2 servers slowed 5x for 10 s" : "", "variant",
+              "short p99w", "p50", "p99", "p99.9", "added");
+}
+
+int runZone(const Setting &S) {
+  printHeader(S);
+  print("round robin", runBaseline(S, Baseline::RoundRobin));
+  print("random", runBaseline(S, Baseline::Random));
+  print("two choices", runBaseline(S, Baseline::TwoChoices));
+  Figures Least = runBaseline(S, Baseline::LeastInFlight);
+  print("least in flight", Least);
+  print("one queue, FIFO, no hedges", runOurs(S, false, FifoOrder{}, false));
+  print("one queue, short first, no hedges",
+        runOurs(S, false, ShortFirstOrder{}, false));
+  Figures Ours = runOurs(S, false, ShortFirstOrder{}, true);
+  print("as shipped", Ours);
+  if (!S.IsLongKnown_ || S.Load_ < 0.85)
+    return 0;
+  return check("short p99 wait, zone alone", Ours.ShortWaitP99_,
+               Least.ShortWaitP99_, S.Load_ > 0.9 ? 0.3 : 0.4);
+}
+
+int runPooled(const Setting &S) {
+  printHeader(S);
+  Figures Least = runBaseline(S, Baseline::LeastInFlight);
+  print("each zone alone, least in flight", Least);
+  print("each zone alone, as shipped",
+        runOurs(S, false, ShortFirstOrder{}, true));
+  print("zones lend, FIFO", runOurs(S, true, FifoOrder{}, true));
+  Figures Ours = runOurs(S, true, ShortFirstOrder{}, true);
+  print("zones lend, as shipped", Ours);
+  return check("short p99 wait, zones pooled", Ours.ShortWaitP99_,
+               Least.ShortWaitP99_, 0.2);
+}
+
+int runSlowed(Setting S) {
+  Setting Healthy = S;
+  Healthy.Slowed_ = 0;
+  printHeader(S);
+  print("least in flight", runBaseline(S, Baseline::LeastInFlight));
+  Figures Without = runOurs(Healthy, false, ShortFirstOrder{}, true);
+  Figures With = runOurs(S, false, ShortFirstOrder{}, true);
+  print("as shipped, none slowed", Without);
+  print("as shipped", With);
+  return check("p99 with two slowed", With.P99_, Without.P99_, 1.5);
+}
+
+} // namespace
+
+int main() {
+  int Broken = 0;
+  std::printf("seed %lu, %u arrivals; times in units of the mean length "
+              "(25 ms)\n",
+              static_cast<unsigned long>(Seed), Arrivals);
+  for (double Load : {0.5, 0.7, 0.85, 0.95})
+    for (bool IsKnown : {true, false}) {
+      Broken += runZone({"tracker, zone alone", 1, 3, 5, Load, IsKnown});
+      Broken += runZone({"scheduler, zone alone", 1, 2, 3, Load, IsKnown});
+      Broken += runZone({"catalogue, zone alone", 1, 3, 6, Load, IsKnown});
+    }
+  for (double Load : {0.85, 0.95})
+    for (bool IsKnown : {true, false}) {
+      Broken += runPooled({"tracker, all zones", 6, 2, 5, Load, IsKnown});
+      Broken += runPooled({"scheduler, all zones", 6, 2, 3, Load, IsKnown});
+      Broken += runPooled({"tracker, a region", 2, 3, 5, Load, IsKnown});
+    }
+  for (double Load : {0.5, 0.7})
+    for (unsigned Slots : {5U, 6U})
+      Broken += runSlowed({"14 servers", 1, 14, Slots, Load, true, 2});
+  std::printf("\n%d bound(s) broken\n", Broken);
+  return Broken == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/src/ctl/fleet_status.cpp
@@ -0,0 +1,112 @@
+/// \file fleet_status.cpp Status of all entry VMs, put together.
+#include "ctl/fleet_status_func.h"
+
+#include "net/blocking_call_func.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+using nlohmann::json;
+
+namespace cranberry {
+
+namespace {
+
+constexpr Duration StatusTimeout = seconds(2);
+
+std::optional<json> readStatus(const std::string &Endpoint) {
+  HttpCall Call;
+  Call.Url_ = "http://" + Endpoint + "/v1/status";
+  Call.Timeout_ = StatusTimeout;
+  HttpResult Result = callAndWait(std::move(Call));
+  json Body = json::parse(Result.Body_, nullptr, false);
+  if (Result.Status_ != 200 || !Body.is_object())
+    return std::nullopt;
+  return Body;
+}
+
+void addServices(const json &Status, FleetStatus &Fleet, VmLine &Line) {
+  for (const auto &[Service, Figures] : Status["services"].items()) {
+    RegionLine &Region = Fleet.Regions_[{Line.Region_, Service}];
+    Region.InUse_ += Figures["inUse"].get<unsigned>();
+    Region.Usable_ += Figures["usableSlots"].get<unsigned>();
+    Region.Queued_ += Figures["queued"].get<unsigned>();
+    Line.OpenRequests_ += Figures["openCalls"].get<unsigned>();
+    for (const json &Server : Figures["servers"])
+      Fleet.Servers_[Server["server"]] = {Service, Server["inUse"],
+                                          Server["draining"]};
+  }
+}
+
+} // namespace
+
+std::optional<FleetStatus> readFleetStatus(const std::string &Endpoint) {
+  std::optional<json> First = readStatus(Endpoint);
+  if (!First)
+    return std::nullopt;
+  FleetStatus Fleet;
+  for (const json &Member : (*First)["members"]) {
+    VmLine Line{Member["vm"], Member["region"], Member["zone"],
+                Member["state"]};
+    std::optional<json> Status =
+        Member["vm"] == (*First)["vm"] ? First : readStatus(Member["address"]);
+    if (!Status) {
+      Line.State_ = "no answer";
+      Fleet.Problems_.insert(Line.Vm_ + " does not answer");
+      Fleet.Vms_.push_back(Line);
+      continue;
+    }
+    Line.Version_ = (*Status)["version"];
+    addServices(*Status, Fleet, Line);
+    for (const char *Key : {"drainedServers", "drainedVms", "leavingServers"})
+      for (const json &Name : (*Status)[Key])
+        Fleet.Drains_.insert(Name);
+    for (const json &Problem : (*Status)["problems"])
+      Fleet.Problems_.insert(Problem.get<std::string>());
+    Fleet.Vms_.push_back(Line);
+  }
+  return Fleet;
+}
+
+json writeJson(const FleetStatus &Fleet) {
+  json Vms = json::array();
+  for (const VmLine &Line : Fleet.Vms_)
+    Vms.push_back({{"vm", Line.Vm_},
+                   {"region", Line.Region_},
+                   {"zone", Line.Zone_},
+                   {"state", Line.State_},
+                   {"version", Line.Version_},
+                   {"openRequests", Line.OpenRequests_}});
+  json Regions = json::array();
+  for (const auto &[Key, Line] : Fleet.Regions_)
+    Regions.push_back({{"region", Key.first},
+                       {"service", Key.second},
+                       {"inUse", Line.InUse_},
+                       {"usableSlots", Line.Usable_},
+                       {"queued", Line.Queued_}});
+  return {{"entryVms", Vms},
+          {"regions", Regions},
+          {"drains", Fleet.Drains_},
+          {"problems", Fleet.Problems_}};
+}
+
+std::optional<unsigned> countAtServer(const FleetStatus &Fleet,
+                                      const std::string &Server) {
+  auto Found = Fleet.Servers_.find(Server);
+  if (Found == Fleet.Servers_.end() || !Found->second.IsDraining_)
+    return std::nullopt;
+  return Found->second.InUse_;
+}
+
+std::optional<unsigned> countAtVm(const FleetStatus &Fleet,
+                                  const std::string &Vm) {
+  auto Found = std::find_if(Fleet.Vms_.begin(), Fleet.Vms_.end(),
+                            [&](const VmLine &L) { return L.Vm_ == Vm; });
+  bool Answers = Found != Fleet.Vms_.end() && Found->State_ != "no answer";
+  if (!Answers || !Fleet.Drains_.contains(Vm))
+    return std::nullopt;
+  return Found->OpenRequests_;
+}
+
+} // namespace cranberry
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,1 +1,97 @@
-int main() { return 0; }
+/// \file main.cpp Command line of the operators' tool.
+#include "ctl/command_func.h"
+#include "ctl/table/command_table.h"
+
+#include <boost/program_options.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace cranberry;
+
+namespace {
+
+void printHelp(const boost::program_options::options_description &Flags) {
+  std::cout << "cranberryctl COMMAND [flags]\n\n";
+  for (const CommandRow &Row : CommandTable)
+    std::cout << "  " << Row.Name_ << " " << Row.Usage_ << "\n      "
+              << Row.Help_ << "\n";
+  std::cout << "\n"
+            << Flags
+            << "\nExit codes: 0 done, 1 refused, 2 usage, 3 unreachable, 4 "
+               "lost a race,\n5 outcome unknown, 6 not done in time\n";
+}
+
+int failUsage(const std::string &Text) {
+  std::cerr << "cranberryctl: " << Text << " (see --help)\n";
+  return static_cast<int>(ExitCode::Usage);
+}
+
+const CommandRow *findCommand(const std::string &Name) {
+  for (const CommandRow &Row : CommandTable)
+    if (Row.Name_ == Name)
+      return &Row;
+  return nullptr;
+}
+
+int run(const boost::program_options::variables_map &Given, Invocation Call) {
+  std::vector<std::string> Words =
+      Given["words"].as<std::vector<std::string>>();
+  const CommandRow *Row = findCommand(Words.front());
+  if (!Row)
+    return failUsage("no command is called '" + Words.front() + "'");
+  Call.Command_ = Row->Command_;
+  Call.Arguments_.assign(Words.begin() + 1, Words.end());
+  if (Call.Arguments_.size() != Row->Arguments_)
+    return failUsage(std::string("usage: ") + Row->Name_ + " " + Row->Usage_);
+  if (Row->NeedsFile_ && Call.File_.empty())
+    return failUsage("--file is needed");
+  std::string Output = Given["output"].as<std::string>();
+  if (Output != "table" && Output != "json")
+    return failUsage("--output is 'table' or 'json'");
+  Call.IsJson_ = Output == "json";
+  if (Call.Endpoint_.empty())
+    return failUsage("--endpoint or CRANBERRY_ENDPOINT is needed");
+  return static_cast<int>(runCommand(Call));
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  namespace po = boost::program_options;
+  Invocation Call;
+  const char *Endpoint = std::getenv("CRANBERRY_ENDPOINT");
+  po::options_description Flags("Flags");
+  // clang-format off
+  Flags.add_options()
+      ("endpoint", po::value(&Call.Endpoint_)
+          ->default_value(Endpoint ? Endpoint : ""), "address:port of an entry VM")
+      ("file,f", po::value(&Call.File_), "file with objects, JSON; - is stdin")
+      ("version", po::value(&Call.Version_), "version that must be there; 0: none")
+      ("wait", po::value(&Call.WaitSeconds_), "longest wait, in seconds")
+      ("output,o", po::value<std::string>()->default_value("table"), "table or json")
+      ("help", "print this and exit");
+  // clang-format on
+  po::options_description All;
+  All.add(Flags).add_options()("words", po::value<std::vector<std::string>>());
+  po::positional_options_description Positions;
+  Positions.add("words", -1);
+  po::variables_map Given;
+  try {
+    po::store(po::command_line_parser(Argc, Argv)
+                  .options(All)
+                  .positional(Positions)
+                  .run(),
+              Given);
+    po::notify(Given);
+  } catch (const po::error &Error) {
+    return failUsage(Error.what());
+  }
+  if (Given.count("help")) {
+    printHelp(Flags);
+    return 0;
+  }
+  if (!Given.count("words"))
+    return failUsage("a command is needed");
+  return run(Given, Call);
+}
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -6,17 +6,19 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <utility>
 
 namespace cranberry {
 
 namespace {
 
-constexpr double RetryBurst = 10;
+constexpr int RetryBurst = 10;
 constexpr Duration FirstBackOff = milliseconds(10);
 constexpr Duration MaxBackOff = milliseconds(500);
 constexpr unsigned MaxBackOffDoublings = 6;
-constexpr int HedgeFactor = 3;   ///< Hedged after this many estimates.
-constexpr int SilentFactor = 30; ///< Silent after this many estimates.
+constexpr int HedgeFactor = 4;         ///< Hedged after this many estimates.
+constexpr unsigned HedgeRoomShare = 5; ///< Hedges need 1/5 of slots free.
+constexpr int SilentFactor = 3;        ///< Silent after this many longest runs.
 constexpr Duration MinSilence = seconds(2);
 constexpr Duration MinHedgeDelay = milliseconds(2);
 constexpr Duration GrantTtlNear = milliseconds(100);
@@ -72,7 +74,6 @@
     finish(Index, ResultCode::QueueFull, {}, Now);
     return Index;
   }
-  Budget_.onRequest();
   queue(Index);
   pump(Now);
   return Index;
@@ -108,9 +109,31 @@
     answerAsks(Now);
     return;
   }
+  yieldHedges();
   askPeers(Now);
 }
 
+void Dispatcher::yieldHedges() {
+  size_t Wanted = Queue_.getSize();
+  std::vector<AttemptIndex> Added;
+  for (const auto &[Index, A] : Attempts_) {
+    bool IsHedge = A.Charged_ && A.Server_.isValid() &&
+                   Requests_.at(A.Request_).Running_.size() > 1;
+    if (IsHedge && A.Abandoned_)
+      --Wanted;
+    else if (IsHedge)
+      Added.push_back(Index);
+    if (Wanted == 0)
+      return;
+  }
+  // The youngest have the least to lose.
+  std::sort(Added.rbegin(), Added.rend());
+  for (size_t I = 0; I < std::min(Wanted, Added.size()); ++I) {
+    Attempts_.at(Added[I]).Abandoned_ = true;
+    Actions_.push_back(CancelAttempt{Added[I]});
+  }
+}
+
 void Dispatcher::startWaiting(Time Now) {
   std::vector<RequestIndex> Blocked;
   while (std::optional<RequestIndex> Index = Queue_.pop()) {
@@ -165,13 +188,11 @@
   assert(R.Traits_.Repeatable_ || (R.Running_.empty() && !R.MayHaveRun_));
   R.Phase_ = Phase::Running;
   R.Running_.push_back(Attempt);
-  Attempts_[Attempt] = {Index,
-                        Now,
-                        History_.getEstimate(R.Traits_.Route_),
-                        ServerIndex::invalid(),
-                        "",
-                        0,
-                        false};
+  struct Attempt &New = Attempts_[Attempt];
+  New.Request_ = Index;
+  New.Started_ = Now;
+  New.Expected_ = History_.getEstimate(R.Traits_.Route_);
+  New.Charged_ = std::exchange(R.NextCharge_, std::nullopt);
   return Attempt;
 }
 
@@ -193,7 +214,8 @@
     auto Waiting = static_cast<unsigned>(Queue_.getSize());
     Duration Wait = IsFar ? AskWaitFar : AskWaitNear;
     AsksOut_[Peer.Vm_] = Now + Wait + 2 * Peer.Latency_ + AskTimeoutMargin;
-    Actions_.push_back(AskPeer{Peer.Vm_, std::min(Waiting, Ramp), Wait});
+    Actions_.push_back(
+        AskPeer{Peer.Vm_, std::min(Waiting, IsFar ? Ramp : MaxAskSlots), Wait});
   }
 }
 
@@ -257,10 +279,21 @@
   pump(Now);
 }
 
+Time Dispatcher::getSilentTime(const Attempt &A) const {
+  const Request &R = Requests_.at(A.Request_);
+  Duration Longest = History_.getLongest(R.Traits_.Route_);
+  return A.Started_ + std::max(MinSilence, SilentFactor * Longest);
+}
+
 Duration Dispatcher::getHedgeDelay(const Attempt &A) const {
   return std::max(MinHedgeDelay, HedgeFactor * A.Expected_);
 }
 
+bool Dispatcher::payForAttempt(Request &R) {
+  R.NextCharge_ = Budget_.trySpend(History_.getEstimate(R.Traits_.Route_));
+  return R.NextCharge_.has_value();
+}
+
 void Dispatcher::hedge(Time Now) {
   std::vector<RequestIndex> Late;
   for (const auto &[Index, A] : Attempts_) {
@@ -273,11 +306,12 @@
   }
   std::sort(Late.begin(), Late.end());
   for (RequestIndex Index : Late) {
-    if (getFreeOwn(Now) == 0)
+    // A hedge leaves room for the next arrivals.
+    if (getFreeOwn(Now) * HedgeRoomShare < Pool_.getUsableSlots(Now))
       return;
     Request &R = Requests_.at(Index);
     R.AvoidServer_ = Attempts_.at(R.Running_.front()).Server_;
-    if (!Pool_.pick(Now, R.AvoidServer_) || !Budget_.trySpend())
+    if (!Pool_.pick(Now, R.AvoidServer_) || !payForAttempt(R))
       continue;
     ++Hedges_;
     startAtServer(Index, Now, "hedge");
@@ -297,6 +331,10 @@
   }
   Pool_.finish(A.Server_);
   Duration Ran = Now - A.Started_;
+  if (A.Charged_)
+    Budget_.settle(Ran, *A.Charged_);
+  else if (getOutcome(Code) != Outcome::NotRun)
+    Budget_.earn(Ran);
   if (Code == ResultCode::Ok && !A.Abandoned_) {
     Pool_.recordTiming(A.Server_, Ran, A.Expected_);
     History_.record(R.Traits_.Route_, Ran);
@@ -327,7 +365,7 @@
     }
   } else if (Code == ResultCode::Ok) {
     finish(Ended.Request_, Code, Attempt, Now);
-  } else {
+  } else if (!Ended.Abandoned_ || R.Running_.empty()) {
     if (getOutcome(Code) == Outcome::Unknown) {
       R.MayHaveRun_ = true;
       R.UnknownEnd_ = Code;
@@ -348,8 +386,10 @@
     return finish(Index, R.UnknownEnd_, {}, Now);
   if (R.Traits_.Grant_.isValid())
     return finish(Index, Code, {}, Now);
-  if (!DidNotRun && !Budget_.trySpend())
-    return finish(Index, ResultCode::RetryBudgetSpent, {}, Now);
+  if (!DidNotRun) {
+    if (!payForAttempt(R))
+      return finish(Index, ResultCode::RetryBudgetSpent, {}, Now);
+  }
   backOff(Index, Now);
 }
 
@@ -419,8 +459,7 @@
     else if (R.Traits_.Repeatable_)
       for (AttemptIndex Attempt : R.Running_) {
         const struct Attempt &A = Attempts_.at(Attempt);
-        if (Now >=
-            A.Started_ + std::max(MinSilence, SilentFactor * A.Expected_))
+        if (Now >= getSilentTime(A))
           Silent.push_back(Attempt);
       }
   }
@@ -438,6 +477,9 @@
   for (AttemptIndex Attempt : Silent) {
     if (!Attempts_.contains(Attempt) || Attempts_.at(Attempt).Abandoned_)
       continue;
+    const struct Attempt &A = Attempts_.at(Attempt);
+    History_.recordUnfinished(Requests_.at(A.Request_).Traits_.Route_,
+                              Now - A.Started_);
     Actions_.push_back(CancelAttempt{Attempt});
     finishAttempt(Attempt, ResultCode::ConnectionSilent, Now);
   }
@@ -491,7 +533,7 @@
     const Request &R = Requests_.at(A.Request_);
     if (A.Abandoned_ || !R.Traits_.Repeatable_)
       continue;
-    Consider(A.Started_ + std::max(MinSilence, SilentFactor * A.Expected_));
+    Consider(getSilentTime(A));
     Time Hedge = A.Started_ + getHedgeDelay(A);
     if (Limits_.Hedges_ && A.Expected_ > Duration::zero() && Hedge > Now)
       Consider(Hedge);
--- a/src/request/dispatcher_base.h
+++ b/src/request/dispatcher_base.h
@@ -23,7 +23,7 @@
   unsigned MaxQueue_ = 256;              ///< Most requests that wait.
   unsigned MaxConcurrent_ = ~0U;         ///< This VM's share of the limit.
   double Headroom_ = 0.1;   ///< Share of slots kept from other regions.
-  double RetryRatio_ = 0.1; ///< Added attempts for each request.
+  double RetryRatio_ = 0.1; ///< Added running time for each unit of useful.
   bool Hedges_ = true;      ///< Whether slow attempts get a second one.
 };
 
@@ -116,25 +116,27 @@
   };
 
   struct Request {
-    RequestTraits Traits_;              ///< As it arrived.
-    Phase Phase_ = Phase::Waiting;      ///< Where it stands.
-    std::vector<AttemptIndex> Running_; ///< Attempts that are out.
-    Time ReadyAt_;                      ///< End of back-off.
-    unsigned Failures_ = 0;             ///< Attempts that failed.
-    bool MayHaveRun_ = false;           ///< Some attempt's end is unknown.
+    RequestTraits Traits_;               ///< As it arrived.
+    Phase Phase_ = Phase::Waiting;       ///< Where it stands.
+    std::vector<AttemptIndex> Running_;  ///< Attempts that are out.
+    Time ReadyAt_;                       ///< End of back-off.
+    unsigned Failures_ = 0;              ///< Attempts that failed.
+    std::optional<Duration> NextCharge_; ///< Paid for the next attempt.
+    bool MayHaveRun_ = false;            ///< Some attempt's end is unknown.
     ResultCode UnknownEnd_ = ResultCode::ServerAnswerLost; ///< If MayHaveRun_.
     std::string AvoidVm_;     ///< Peer that refused last.
     ServerIndex AvoidServer_; ///< Server that failed last.
   };
 
   struct Attempt {
-    RequestIndex Request_;   ///< Its request.
-    Time Started_;           ///< When it was started.
-    Duration Expected_{0};   ///< Estimate at that time.
-    ServerIndex Server_;     ///< Own server; invalid if at a peer.
-    std::string Vm_;         ///< Peer, if at a peer.
-    uint64_t Grant_ = 0;     ///< Peer's grant.
-    bool Abandoned_ = false; ///< Cancelled; waits for its end.
+    RequestIndex Request_;            ///< Its request.
+    Time Started_;                    ///< When it was started.
+    Duration Expected_{0};            ///< Estimate at that time.
+    ServerIndex Server_;              ///< Own server; invalid if at a peer.
+    std::string Vm_;                  ///< Peer, if at a peer.
+    uint64_t Grant_ = 0;              ///< Peer's grant.
+    bool Abandoned_ = false;          ///< Cancelled; waits for its end.
+    std::optional<Duration> Charged_; ///< Paid by the budget, if added.
   };
 
   unsigned getFreeOwn(Time Now);
@@ -147,7 +149,9 @@
   void answerAsks(Time Now);
   void answerAsk(const SlotAsk &Ask, unsigned Slots, Time Now);
   unsigned getGrantable(const SlotAsk &Ask, Time Now);
+  bool payForAttempt(Request &R);
   void hedge(Time Now);
+  void yieldHedges();
   void expireDeadlines(Time Now);
   void endBackOffs(Time Now);
   void retryOrFinish(RequestIndex Index, ResultCode Code, Time Now);
@@ -160,6 +164,7 @@
   void recordEnd(const Attempt &A, ResultCode Code, Time Now);
   Time getFarAskTime(const PeerSpec &Peer) const;
   Duration getHedgeDelay(const Attempt &A) const;
+  Time getSilentTime(const Attempt &A) const;
 
   DispatcherLimits Limits_;     ///< Settings.
   ServerPool Pool_;             ///< Own backend servers.
--- a/src/request/route_history.cpp
+++ b/src/request/route_history.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr size_t MaxRoutes = 4096;
-constexpr int MeanWeight = 8;    ///< A new value counts for 1 / MeanWeight.
+constexpr int MeanWeight = 32;   ///< A new value counts for 1 / MeanWeight.
 constexpr int MedianWeight = 32; ///< Step of the running median.
+constexpr int FadeWeight = 4096; ///< Share of the longest lost to each value.
 
 } // namespace
 
@@ -19,18 +20,30 @@
     Typical_ = Ran;
   Duration Step = std::max(Typical_ / MedianWeight, Duration(1));
   Typical_ += Ran > Typical_ ? Step : -Step;
-  auto Found = Means_.find(Route);
-  if (Found != Means_.end()) {
-    Found->second += (Ran - Found->second) / MeanWeight;
+  auto Found = Routes_.find(Route);
+  if (Found == Routes_.end()) {
+    if (Routes_.size() < MaxRoutes)
+      Routes_.emplace(Route, Entry{Ran, Ran});
     return;
   }
-  if (Means_.size() < MaxRoutes)
-    Means_.emplace(Route, Ran);
+  Entry &Known = Found->second;
+  Known.Mean_ += (Ran - Known.Mean_) / MeanWeight;
+  Known.Longest_ = std::max(Ran, Known.Longest_ - Known.Longest_ / FadeWeight);
+}
+
+void RouteHistory::recordUnfinished(const std::string &Route, Duration Ran) {
+  if (auto Found = Routes_.find(Route); Found != Routes_.end())
+    Found->second.Longest_ = std::max(Found->second.Longest_, Ran);
 }
 
 Duration RouteHistory::getEstimate(const std::string &Route) const {
-  auto Found = Means_.find(Route);
-  return Found == Means_.end() ? Typical_ : Found->second;
+  auto Found = Routes_.find(Route);
+  return Found == Routes_.end() ? Typical_ : Found->second.Mean_;
+}
+
+Duration RouteHistory::getLongest(const std::string &Route) const {
+  auto Found = Routes_.find(Route);
+  return Found == Routes_.end() ? Duration::zero() : Found->second.Longest_;
 }
 
 std::string makeRoute(std::string_view Method, std::string_view Path) {
--- a/src/request/route_history_base.h
+++ b/src/request/route_history_base.h
@@ -20,12 +20,23 @@
   /// \return Expected running time; the typical one for an unknown route.
   Duration getEstimate(const std::string &Route) const;
 
+  /// \return Longest recent running time of the route, or zero.
+  Duration getLongest(const std::string &Route) const;
+
+  /// Notes that an attempt was still running after \p Ran.
+  void recordUnfinished(const std::string &Route, Duration Ran);
+
   /// \return Running time that half of all requests stay under, roughly.
   Duration getTypical() const { return Typical_; }
 
 private:
-  absl::flat_hash_map<std::string, Duration> Means_; ///< Smoothed, by route.
-  Duration Typical_{0};                              ///< Running median.
+  struct Entry {
+    Duration Mean_{0};    ///< Smoothed running time.
+    Duration Longest_{0}; ///< Longest, which fades slowly.
+  };
+
+  absl::flat_hash_map<std::string, Entry> Routes_; ///< By route.
+  Duration Typical_{0};                            ///< Running median.
 };
 
 /// Derives the route of a request: its method and path with every segment
--- a/src/request/server_pool.cpp
+++ b/src/request/server_pool.cpp
@@ -11,9 +11,11 @@
 constexpr Duration RampStep = milliseconds(500);
 constexpr Duration FirstRest = milliseconds(50);
 constexpr unsigned MaxRestDoublings = 6;
-constexpr double SlowRatio = 2.2; ///< Slow when over this many medians.
-constexpr double MaxSample = 5.0; ///< One straggler is not a slow server.
-constexpr double SampleWeight = 0.2;
+constexpr double LateRatio = 2.0;     ///< Late when over this many estimates.
+constexpr double SampleWeight = 0.05; ///< Of the newest attempt.
+constexpr double SlowExcess = 0.35; ///< Late share over the peers' that starts
+                                    ///< being slow.
+constexpr double RecoveredExcess = 0.15; ///< And the one that ends it.
 
 } // namespace
 
@@ -53,18 +55,14 @@
   return S.Listed_ && !S.Draining_ && S.Health_ == ServerHealth::Up;
 }
 
-bool ServerPool::isSlow(const Server &S) const {
-  return S.Slowness_ > SlowRatio * Median_;
-}
-
 bool ServerPool::isSlow(ServerIndex Server) const {
-  return isSlow(Servers_[Server.get()]);
+  return Servers_[Server.get()].IsSlow_;
 }
 
 unsigned ServerPool::getUsable(const Server &S, Time Now) const {
   if (!isEligible(S) || Now < S.RestUntil_)
     return 0;
-  if (isSlow(S))
+  if (S.IsSlow_)
     return 1;
   if (S.RampFrom_ == Time::min())
     return S.Slots_;
@@ -77,7 +75,7 @@
 std::optional<ServerIndex> ServerPool::pick(Time Now, ServerIndex Avoid) const {
   std::optional<size_t> Best;
   auto Score = [&](const Server &S) {
-    return std::pair(isSlow(S), static_cast<double>(S.InUse_) / S.Slots_);
+    return std::pair(S.IsSlow_, static_cast<double>(S.InUse_) / S.Slots_);
   };
   for (size_t I = 0; I < Servers_.size(); ++I) {
     const Server &S = Servers_[I];
@@ -102,14 +100,15 @@
   --InUse_;
 }
 
-double ServerPool::getMedianSlowness() const {
+double ServerPool::getMedianLateShare() const {
   std::vector<double> Values;
   for (const Server &S : Servers_)
     if (isEligible(S))
-      Values.push_back(S.Slowness_);
+      Values.push_back(S.LateShare_);
   if (Values.empty())
-    return 1.0;
-  auto Middle = Values.begin() + static_cast<std::ptrdiff_t>(Values.size() / 2);
+    return 0.0;
+  auto Middle =
+      Values.begin() + static_cast<std::ptrdiff_t>((Values.size() - 1) / 2);
   std::nth_element(Values.begin(), Middle, Values.end());
   return *Middle;
 }
@@ -120,10 +119,10 @@
   S.Refusals_ = 0;
   if (Expected <= Duration::zero())
     return;
-  double Sample =
-      std::min(MaxSample, static_cast<double>(Ran.count()) / Expected.count());
-  S.Slowness_ += SampleWeight * (Sample - S.Slowness_);
-  Median_ = std::max(getMedianSlowness(), 0.1);
+  double Sample = Ran > Expected * LateRatio ? 1.0 : 0.0;
+  S.LateShare_ += SampleWeight * (Sample - S.LateShare_);
+  double Excess = S.LateShare_ - getMedianLateShare();
+  S.IsSlow_ = Excess > (S.IsSlow_ ? RecoveredExcess : SlowExcess);
 }
 
 void ServerPool::recordRefusal(ServerIndex Server, Time Now) {
@@ -158,7 +157,7 @@
       Status.push_back(
           {S.Address_, S.Slots_, getUsable(S, Now), S.InUse_,
            S.Draining_ || S.Health_ == ServerHealth::Draining || !S.Listed_,
-           S.Health_ == ServerHealth::Down, isSlow(S)});
+           S.Health_ == ServerHealth::Down, S.IsSlow_});
   return Status;
 }
 
--- a/src/request/server_pool_base.h
+++ b/src/request/server_pool_base.h
@@ -43,8 +43,10 @@
 ///
 /// Counts are exact, because this VM alone gives these servers work. A server
 /// that starts or comes back is ramped: its usable slots start at one and
-/// double each RampStep. One that is slower than its peers, by our own timing,
-/// keeps a single slot until it has recovered.
+/// double each RampStep. One whose attempts run late more often than its
+/// peers', by our own timing, keeps a single slot until it has recovered.
+/// Counting late attempts, and not averaging their length, keeps a few
+/// stragglers from making a healthy server look slow.
 class ServerPool {
 public:
   /// Replaces the list; servers that stay keep their counts and history.
@@ -109,17 +111,16 @@
     Time RampFrom_;                          ///< When the ramp started.
     Time RestUntil_;                         ///< No work before.
     unsigned Refusals_ = 0;                  ///< In a row.
-    double Slowness_ = 1.0;                  ///< Smoothed ran / expected.
+    double LateShare_ = 0.0; ///< Smoothed share of attempts that ran late.
+    bool IsSlow_ = false;    ///< Slower than its peers.
   };
 
   bool isEligible(const Server &S) const;
   unsigned getUsable(const Server &S, Time Now) const;
-  double getMedianSlowness() const;
-  bool isSlow(const Server &S) const;
+  double getMedianLateShare() const;
 
   std::vector<Server> Servers_; ///< Indices stay valid for a pool's life.
   unsigned InUse_ = 0;          ///< Sum over all servers.
-  double Median_ = 1.0;         ///< Median slowness of eligible servers.
 };
 
 } // namespace cranberry
--- a/standin/deployment.cpp
+++ b/standin/deployment.cpp
@@ -1,6 +1,7 @@
 /// \file deployment.cpp A user's deployment on loopback ports.
 #include "standin/deployment_base.h"
 
+#include "net/blocking_call_func.h"
 #include "net/event_loop_base.h"
 
 #include <absl/strings/str_split.h>
@@ -32,19 +33,13 @@
 
 PlainAnswer request(const std::string &Method, const std::string &Url,
                     const std::string &Body) {
-  EventLoop Loop;
-  PlainAnswer Answer;
   HttpCall Call;
   Call.Method_ = Method;
   Call.Url_ = Url;
   Call.Body_ = Body;
   Call.Timeout_ = RequestTimeout;
-  Loop.startCall(std::move(Call), [&](HttpResult Result) {
-    Answer = {Result.Status_, std::move(Result.Body_)};
-    Loop.stop();
-  });
-  Loop.run();
-  return Answer;
+  HttpResult Result = callAndWait(std::move(Call));
+  return {Result.Status_, std::move(Result.Body_)};
 }
 
 Deployment::Deployment(DeploymentPaths Paths, int64_t MeanMs)
