--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -19,6 +19,8 @@
 constexpr int HedgeFactor = 4;         ///< Hedged after this many estimates.
 constexpr unsigned HedgeRoomShare = 5; ///< Hedges need 1/5 of slots free.
 constexpr int SilentFactor = 3;        ///< Silent after this many longest runs.
+constexpr int LongFactor = 4;          ///< Long is over this many typical runs.
+constexpr double MaxLongShare = 0.3;   ///< Of slots, for long work.
 constexpr Duration MinSilence = seconds(2);
 constexpr Duration MinHedgeDelay = milliseconds(2);
 constexpr Duration GrantTtlNear = milliseconds(100);
@@ -137,12 +139,15 @@
 void Dispatcher::startWaiting(Time Now) {
   std::vector<RequestIndex> Blocked;
   while (std::optional<RequestIndex> Index = Queue_.pop()) {
-    if (getFreeOwn(Now) > 0 && startAtServer(*Index, Now, "free slot"))
+    bool IsHeldBack = isHeldBack(Requests_.at(*Index), Now);
+    if (!IsHeldBack && getFreeOwn(Now) > 0 &&
+        startAtServer(*Index, Now, "free slot"))
       continue;
     if (startAtPeer(*Index, Now))
       continue;
     Blocked.push_back(*Index);
-    bool OnlyThisOne = Requests_.at(*Index).AvoidServer_.isValid() ||
+    bool OnlyThisOne = IsHeldBack ||
+                       Requests_.at(*Index).AvoidServer_.isValid() ||
                        !Requests_.at(*Index).AvoidVm_.empty() ||
                        Requests_.at(*Index).Traits_.Grant_.isValid();
     if (!OnlyThisOne)
@@ -152,6 +157,18 @@
     queue(Index);
 }
 
+bool Dispatcher::isLong(const std::string &Route) const {
+  return History_.getMedian(Route) > LongFactor * History_.getTypical();
+}
+
+bool Dispatcher::isHeldBack(const Request &R, Time Now) const {
+  if (R.Traits_.Grant_.isValid() || !isLong(R.Traits_.Route_))
+    return false;
+  auto Most = static_cast<unsigned>(
+      std::ceil(MaxLongShare * Pool_.getUsableSlots(Now)));
+  return LongInUse_ >= Most;
+}
+
 bool Dispatcher::startAtServer(RequestIndex Index, Time Now, const char *Why) {
   Request &R = Requests_.at(Index);
   std::optional<ServerIndex> Server = Pool_.pick(Now, R.AvoidServer_);
@@ -160,7 +177,10 @@
   if (!Server)
     return false;
   AttemptIndex Attempt = addAttempt(Index, Now);
-  Attempts_.at(Attempt).Server_ = *Server;
+  struct Attempt &New = Attempts_.at(Attempt);
+  New.Server_ = *Server;
+  New.IsLong_ = isLong(R.Traits_.Route_);
+  LongInUse_ += New.IsLong_ ? 1 : 0;
   Pool_.start(*Server);
   Actions_.push_back(
       StartServerAttempt{Attempt, Index, Pool_.getAddress(*Server), Why});
@@ -330,6 +350,7 @@
     return;
   }
   Pool_.finish(A.Server_);
+  LongInUse_ -= A.IsLong_ ? 1 : 0;
   Duration Ran = Now - A.Started_;
   if (A.Charged_)
     Budget_.settle(Ran, *A.Charged_);
--- a/src/request/dispatcher_base.h
+++ b/src/request/dispatcher_base.h
@@ -135,6 +135,7 @@
     ServerIndex Server_;              ///< Own server; invalid if at a peer.
     std::string Vm_;                  ///< Peer, if at a peer.
     uint64_t Grant_ = 0;              ///< Peer's grant.
+    bool IsLong_ = false;             ///< Long work, by its route's history.
     bool Abandoned_ = false;          ///< Cancelled; waits for its end.
     std::optional<Duration> Charged_; ///< Paid by the budget, if added.
   };
@@ -144,6 +145,8 @@
   void startWaiting(Time Now);
   bool startAtServer(RequestIndex Index, Time Now, const char *Why);
   bool startAtPeer(RequestIndex Index, Time Now);
+  bool isLong(const std::string &Route) const;
+  bool isHeldBack(const Request &R, Time Now) const;
   AttemptIndex addAttempt(RequestIndex Index, Time Now);
   void askPeers(Time Now);
   void answerAsks(Time Now);
@@ -184,6 +187,7 @@
   uint64_t NextRequest_ = 1; ///< Number of the next request.
   uint64_t NextAttempt_ = 1; ///< Number of the next attempt.
   unsigned long Hedges_ = 0; ///< Hedges so far.
+  unsigned LongInUse_ = 0;   ///< Own slots that run long work.
 };
 
 } // namespace cranberry
--- a/src/request/route_history_base.h
+++ b/src/request/route_history_base.h
@@ -20,6 +20,10 @@
   /// \return Expected running time; the typical one for an unknown route.
   Duration getEstimate(const std::string &Route) const;
 
+  /// \return Running median of the route, or zero. A few stragglers move the
+  /// mean but not the median, so this one tells long routes from short.
+  Duration getMedian(const std::string &Route) const;
+
   /// \return Longest recent running time of the route, or zero.
   Duration getLongest(const std::string &Route) const;
 
@@ -32,6 +36,7 @@
 private:
   struct Entry {
     Duration Mean_{0};    ///< Smoothed running time.
+    Duration Median_{0};  ///< Running median.
     Duration Longest_{0}; ///< Longest, which fades slowly.
   };
 
