--- /dev/null
+++ b/test/unit/surface_test.cpp
@@ -0,0 +1,102 @@
+/// \file surface_test.cpp Result codes, settings and messages between VMs.
+#include "core/result_func.h"
+#include "core/table/result_table.h"
+#include "daemon/settings_func.h"
+#include "daemon/wire_func.h"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+using namespace cranberry;
+
+namespace {
+
+std::string readFile(const std::string &Path) {
+  std::ifstream File(Path);
+  std::stringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+const char *const GoodSettings =
+    R"("vm":"v","region":"r","zone":"z","http":"127.0.0.1:0",)"
+    R"("peer":"127.0.0.1:0","platform":"127.0.0.1:1")";
+
+} // namespace
+
+TEST_CASE("every result code has one row, and docs/ERRORS.md lists it") {
+  std::string Page = readFile(SOURCE_DIR "/docs/ERRORS.md");
+  std::set<unsigned> Numbers;
+  std::set<std::string> Names;
+  for (const ResultRow &Row : ResultTable) {
+    auto Number = static_cast<unsigned>(Row.Code_);
+    CAPTURE(Row.Name_);
+    CHECK(Numbers.insert(Number).second);
+    CHECK(Names.insert(Row.Name_).second);
+    CHECK(findResultCode(Number) == Row.Code_);
+    std::string Line = "| " + std::to_string(Number) + " | " + Row.Name_ +
+                       " | " + getName(Row.Outcome_) + " | " +
+                       std::to_string(Row.HttpStatus_) + " |";
+    CHECK(Page.find(Line) != std::string::npos);
+  }
+  CHECK_FALSE(findResultCode(9999));
+}
+
+TEST_CASE("settings are refused with the key, the reason and a code") {
+  struct Case {
+    std::string Text_;  ///< Settings.
+    ResultCode Code_;   ///< Expected code.
+    const char *Field_; ///< Expected key.
+  };
+  std::string Good = GoodSettings;
+  const Case Cases[] = {
+      {"{" + Good + "}", ResultCode::Ok, ""},
+      {"", ResultCode::SettingsNotJson, ""},
+      {"[1]", ResultCode::SettingsNotJson, ""},
+      {"{" + Good, ResultCode::SettingsNotJson, ""},
+      {"{" + Good + R"(,"vmm":"x"})", ResultCode::SettingsUnknownKey, "vmm"},
+      {"{" + Good + R"(,"httpThreads":"2"})", ResultCode::SettingsWrongType,
+       "httpThreads"},
+      {"{" + Good + R"(,"httpThreads":0})", ResultCode::SettingsOutOfRange,
+       "httpThreads"},
+      {"{" + Good + R"(,"lookupTtlMs":1e9})", ResultCode::SettingsWrongType,
+       "lookupTtlMs"},
+      {"{" + Good + R"(,"peers":"x"})", ResultCode::SettingsWrongType, "peers"},
+      {"{" + Good + R"(,"peers":["x"]})", ResultCode::SettingsOutOfRange,
+       "peers"},
+      {R"({"vm":"v"})", ResultCode::SettingsMissingKey, "region"},
+      {R"({"vm":""})", ResultCode::SettingsWrongType, "vm"},
+      {R"({"http":"localhost:80"})", ResultCode::SettingsOutOfRange, "http"},
+  };
+  for (const Case &C : Cases) {
+    CAPTURE(C.Text_);
+    Reason Why;
+    CHECK(parseSettings(C.Text_, Why).has_value() ==
+          (C.Code_ == ResultCode::Ok));
+    CHECK(Why.Code_ == C.Code_);
+    CHECK(Why.Field_ == C.Field_);
+  }
+  Reason Why;
+  CHECK_FALSE(readSettings("/nowhere.json", Why));
+  CHECK(Why.Code_ == ResultCode::SettingsFileMissing);
+}
+
+TEST_CASE("a reply of a peer that is crossed or cut is not taken for whole") {
+  CallReply Whole{ResultCode::Ok,
+                  std::make_shared<Answer>(Answer{200, {{"a", "b"}}, "body"}),
+                  "s:1"};
+  wire::ForwardReply Reply = writeForwardReply(Whole, "id1");
+  CallReply Read = readForwardReply(Reply, "id1");
+  REQUIRE(Read.Code_ == ResultCode::Ok);
+  CHECK(Read.Answer_->Body_ == "body");
+  CHECK(Read.Answer_->Headers_ == Whole.Answer_->Headers_);
+  CHECK(readForwardReply(Reply, "id2").Code_ == ResultCode::PeerAnswerLost);
+  Reply.set_body("bod");
+  CHECK(readForwardReply(Reply, "id1").Code_ == ResultCode::PeerAnswerLost);
+  Reply.set_body("body");
+  Reply.set_result(9999);
+  CHECK(readForwardReply(Reply, "id1").Code_ == ResultCode::PeerAnswerLost);
+}
