--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 using nlohmann::json;
 
@@ -23,6 +24,9 @@
 constexpr Duration WatchWait = seconds(5);
 constexpr Duration RetryPause = seconds(1);
 constexpr Duration VmListPeriod = seconds(2);
+/// A new process serves once it has heard of the newest configuration from a
+/// peer, or after this time without an answer from any.
+constexpr Duration JoinTime = milliseconds(1500);
 constexpr Duration StatusPeriod = seconds(5);
 
 bool isConfigurationChange(const ObjectChanges &Changes) {
@@ -47,6 +51,7 @@
 void ControlThread::start() {
   Time Now = EventLoop::now();
   Membership_.setKeyEpoch(1);
+  JoinBy_ = Now + JoinTime;
   Loop_.addTimer(Now, [this] { beat(); });
   Loop_.addTimer(Now, [this] { watchPlatform(); });
   Loop_.addTimer(Now, [this] { pollVms(); });
@@ -75,6 +80,7 @@
     sendHeartbeat(Address);
   if (Membership_.takeChanged())
     publish();
+  updateReady();
   answerWatchers();
   Loop_.addTimer(Now + Settings_.HeartbeatPeriod_, [this] { beat(); });
 }
@@ -110,6 +116,8 @@
 }
 
 void ControlThread::learnFrom(const Member &Peer) {
+  NewestSeen_ = std::max(NewestSeen_, Peer.Revision_);
+  updateReady();
   if (Peer.Revision_ > Store_.getRevision())
     pullChanges(Peer.PeerAddress_);
 }
@@ -150,9 +158,9 @@
   auto Again = [this](Duration Pause) {
     Loop_.addTimer(EventLoop::now() + Pause, [this] { watchPlatform(); });
   };
-  if (Ready_ && !isZoneWatcher("/watch"))
+  if (HasConfig_ && !isZoneWatcher("/watch"))
     return Again(RetryPause);
-  Duration Wait = Ready_ ? WatchWait : Duration::zero();
+  Duration Wait = HasConfig_ ? WatchWait : Duration::zero();
   Platform_.readChanges(Store_.getRevision(), Wait,
                         [this, Again](std::optional<ObjectChanges> Changes) {
                           if (!Changes)
@@ -193,8 +201,7 @@
 void ControlThread::applyChanges(const ObjectChanges &Changes) {
   Revision Before = Store_.getRevision();
   bool Moved = Store_.apply(Changes);
-  bool IsFirst = !Ready_;
-  Ready_ = true;
+  bool IsFirst = !std::exchange(HasConfig_, true);
   if (!Moved && !IsFirst)
     return;
   if (isConfigurationChange(Changes) || IsFirst) {
@@ -207,10 +214,24 @@
                    << Ignored.Id_.Name_ << ": " << Ignored.Why_;
   }
   Membership_.setRevision(Store_.getRevision());
+  updateReady();
   publish();
   answerWatchers();
 }
 
+void ControlThread::updateReady() {
+  if (Ready_ || !HasConfig_)
+    return;
+  bool HasPeer = Membership_.getMembers().size() > 1;
+  bool IsNewest = Store_.getRevision() >= NewestSeen_;
+  Ready_ = IsNewest && (HasPeer || EventLoop::now() >= JoinBy_);
+  if (!Ready_)
+    return;
+  LOG(INFO) << "ready version=" << Store_.getRevision()
+            << " newest-seen=" << NewestSeen_;
+  publish();
+}
+
 void ControlThread::publish() {
   auto Next = std::make_shared<Snapshot>();
   Next->Config_ = Config_;
--- a/src/daemon/control_thread_base.h
+++ b/src/daemon/control_thread_base.h
@@ -78,6 +78,7 @@
   void advanceKeyEpoch();
   void writeStatus();
   bool isZoneWatcher(const char *Duty) const;
+  void updateReady();
   void applyChanges(const ObjectChanges &Changes);
   void publish();
   void answerWatchers();
@@ -98,9 +99,12 @@
   std::set<std::string> LeavingServers_; ///< By the platform's list.
   std::vector<Watcher> Watchers_;        ///< Open watches of operators.
   Revision StatusRevision_ = 0;          ///< Of the status object last written.
-  bool Ready_ = false;                   ///< Whether a configuration came.
-  bool Pulling_ = false;                 ///< Whether a pull is out.
-  std::thread Thread_;                   ///< The thread.
+  bool HasConfig_ = false;               ///< Whether a configuration came.
+  bool Ready_ = false;                   ///< Whether it may be served by.
+  Time JoinBy_;             ///< When peers are waited for no longer.
+  Revision NewestSeen_ = 0; ///< Newest that any peer has told of.
+  bool Pulling_ = false;    ///< Whether a pull is out.
+  std::thread Thread_;      ///< The thread.
 };
 
 } // namespace cranberry
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -54,8 +54,12 @@
   Self.Vm_ = Settings_.Vm_;
   Self.Region_ = Settings_.Region_;
   Self.Zone_ = Settings_.Zone_;
-  Self.HttpAddress_ = Http_->getAddress();
-  Self.PeerAddress_ = Peer_->getAddress();
+  Self.HttpAddress_ = Settings_.HttpAdvertise_.empty()
+                          ? Http_->getAddress()
+                          : Settings_.HttpAdvertise_;
+  Self.PeerAddress_ = Settings_.PeerAdvertise_.empty()
+                          ? Peer_->getAddress()
+                          : Settings_.PeerAdvertise_;
   Self.Incarnation_ = Incarnation_;
   for (unsigned I = 0; I < Settings_.TrafficThreads_; ++I)
     Traffic_.push_back(
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -11,18 +11,20 @@
 
 /// What a process learns from its settings file.
 struct Settings {
-  std::string Vm_;                  ///< Name of this entry VM.
-  std::string Region_;              ///< Region.
-  std::string Zone_;                ///< Availability zone.
-  std::string Http_;                ///< Listens here for callers, operators.
-  std::string Peer_;                ///< Listens here for other entry VMs.
-  std::string Platform_;            ///< "address:port" of the platform.
-  std::vector<std::string> Peers_;  ///< Peer addresses to start from.
-  unsigned HttpThreads_ = 2;        ///< Threads that read and write HTTP.
-  unsigned TrafficThreads_ = 2;     ///< Threads that route requests.
-  unsigned MaxConnections_ = 4096;  ///< Most open connections of callers.
-  unsigned MaxBodyKb_ = 1024;       ///< Largest request body, in KiB.
-  Duration LookupTtl_ = seconds(5); ///< Life of a look-up answer.
+  std::string Vm_;                 ///< Name of this entry VM.
+  std::string Region_;             ///< Region.
+  std::string Zone_;               ///< Availability zone.
+  std::string Http_;               ///< Listens here for callers, operators.
+  std::string Peer_;               ///< Listens here for other entry VMs.
+  std::string HttpAdvertise_;      ///< Where callers reach Http_, if elsewhere.
+  std::string PeerAdvertise_;      ///< Where peers reach Peer_, if elsewhere.
+  std::string Platform_;           ///< "address:port" of the platform.
+  std::vector<std::string> Peers_; ///< Peer addresses to start from.
+  unsigned HttpThreads_ = 2;       ///< Threads that read and write HTTP.
+  unsigned TrafficThreads_ = 2;    ///< Threads that route requests.
+  unsigned MaxConnections_ = 4096; ///< Most open connections of callers.
+  unsigned MaxBodyKb_ = 1024;      ///< Largest request body, in KiB.
+  Duration LookupTtl_ = seconds(5);              ///< Life of a look-up answer.
   Duration HeartbeatPeriod_ = milliseconds(500); ///< Between heartbeats.
   Duration HealthPeriod_ = milliseconds(500);    ///< Between health probes.
   Duration KeyEpochLength_ = std::chrono::minutes(10); ///< Of a key epoch.
--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -31,6 +31,8 @@
     {"zone", &Settings::Zone_, true, false, 0, 0},
     {"http", &Settings::Http_, true, true, 0, 0},
     {"peer", &Settings::Peer_, true, true, 0, 0},
+    {"httpAdvertise", &Settings::HttpAdvertise_, false, true, 0, 0},
+    {"peerAdvertise", &Settings::PeerAdvertise_, false, true, 0, 0},
     {"platform", &Settings::Platform_, true, true, 0, 0},
     {"peers", &Settings::Peers_, false, true, 0, 0},
     {"httpThreads", &Settings::HttpThreads_, false, false, 1, 64},
--- a/standin/link.cpp
+++ b/standin/link.cpp
@@ -63,6 +63,11 @@
   close(Listen_);
 }
 
+void Link::setTarget(const std::string &Target) {
+  std::lock_guard Lock(Mutex_);
+  Target_ = Target;
+}
+
 void Link::setMode(LinkMode Mode) {
   if (Mode == LinkMode::Stuck)
     MarkStuck_ = true;
@@ -86,7 +91,11 @@
     auto Open = std::make_unique<Flow>();
     Open->Near_ = Near;
     Open->Far_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in Far = parse(Target_);
+    sockaddr_in Far{};
+    {
+      std::lock_guard Lock(Mutex_);
+      Far = parse(Target_);
+    }
     if (connect(Open->Far_, reinterpret_cast<sockaddr *>(&Far), sizeof Far) !=
         0) {
       closeFlow(*Open);
--- a/standin/link_base.h
+++ b/standin/link_base.h
@@ -20,7 +20,7 @@
 class Link {
 public:
   /// \param Target "address:port" to relay to.
-  explicit Link(std::string Target);
+  explicit Link(std::string Target = "");
   ~Link();
 
   /// \return "address:port" to connect to.
@@ -28,6 +28,7 @@
 
   /// \name Switches and counts; safe from any thread.
   /// @{
+  void setTarget(const std::string &Target);
   void setMode(LinkMode Mode);
   void setDelay(Duration Delay) { DelayMicros_ = Delay.count(); }
   uint64_t getBytes() const { return Bytes_; }
@@ -55,6 +56,7 @@
   bool deliver(int Socket, std::deque<Chunk> &Queue, Time Now);
   static void closeFlow(Flow &F);
 
+  std::mutex Mutex_;                           ///< Guards Target_.
   std::string Target_;                         ///< Where to relay to.
   std::string Address_;                        ///< As bound.
   int Listen_ = -1;                            ///< Listening socket.
