--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -132,7 +132,7 @@
   ZoneIndex Zone = Config.Blocks_.findZone(*Client);
   std::string Home =
       Zone.isValid() ? Config.Zones_[Zone.get()].Name_ : Settings_.Zone_;
-  std::vector<LookupEntry> Entries = orderEntryVms(Config, Now->Members_, Home);
+  const std::vector<LookupEntry> &Entries = Now->getEntryVms(Home);
   if (Entries.empty())
     return Refuse({ResultCode::NoEntryVm, "", ""});
   json List = json::array();
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -4,7 +4,6 @@
 #include "core/result_func.h"
 #include "daemon/decision_log_func.h"
 #include "daemon/wire_func.h"
-#include "version/configuration_func.h"
 #include "version/object_func.h"
 
 #include <glog/logging.h>
@@ -205,7 +204,7 @@
   if (!Moved && !IsFirst)
     return;
   if (isConfigurationChange(Changes) || IsFirst) {
-    Config_ = buildConfiguration(Store_);
+    Config_ = Builder_.build(Store_);
     LOG(INFO) << "configuration version=" << Config_->Revision_
               << " before=" << Before << " objects=" << Changes.Objects_.size()
               << " ignored=" << Config_->Ignored_.size();
--- a/src/daemon/control_thread_base.h
+++ b/src/daemon/control_thread_base.h
@@ -9,6 +9,7 @@
 #include "net/event_loop_base.h"
 #include "net/peer_link_base.h"
 #include "process/membership_base.h"
+#include "version/configuration_func.h"
 #include "version/object_store_base.h"
 
 #include <functional>
@@ -87,14 +88,15 @@
                    std::optional<Expected> Before,
                    const PlatformClient::Written &Done);
 
-  const Settings &Settings_; ///< Settings.
-  PeerClient &Peers_;        ///< Connections to peers.
-  Metrics &Metrics_;         ///< Counters.
-  Publish Publish_;          ///< Takes each new snapshot.
-  EventLoop Loop_;           ///< This thread's loop.
-  PlatformClient Platform_;  ///< Platform.
-  Membership Membership_;    ///< Entry VMs.
-  ObjectStore Store_;        ///< Objects.
+  const Settings &Settings_;     ///< Settings.
+  PeerClient &Peers_;            ///< Connections to peers.
+  Metrics &Metrics_;             ///< Counters.
+  Publish Publish_;              ///< Takes each new snapshot.
+  EventLoop Loop_;               ///< This thread's loop.
+  PlatformClient Platform_;      ///< Platform.
+  Membership Membership_;        ///< Entry VMs.
+  ObjectStore Store_;            ///< Objects.
+  ConfigurationBuilder Builder_; ///< Builds Config_.
   ConfigurationPtr Config_ = std::make_shared<Configuration>(); ///< In force.
   std::set<std::string> LeavingServers_; ///< By the platform's list.
   std::vector<Watcher> Watchers_;        ///< Open watches of operators.
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -315,7 +315,7 @@
   json Vms = json::array();
   constexpr const char *NearnessNames[] = {"home zone", "home region",
                                            "other region"};
-  for (const LookupEntry &Entry : orderEntryVms(Config, Now->Members_, Home))
+  for (const LookupEntry &Entry : Now->getEntryVms(Home))
     Vms.push_back(
         {{"vm", Entry.Member_->Vm_},
          {"weight", Entry.Weight_},
--- a/src/daemon/snapshot_type.h
+++ b/src/daemon/snapshot_type.h
@@ -3,12 +3,15 @@
 #define CRANBERRY_DAEMON_SNAPSHOT_TYPE_H
 
 #include "process/member_type.h"
+#include "process/placement_func.h"
 #include "version/configuration_type.h"
 
+#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cranberry {
 
@@ -20,6 +23,16 @@
   std::set<std::string> LeavingServers_; ///< Leaving by the platform's list.
   bool Ready_ = false;                   ///< Whether a configuration came.
 
+  /// Orders the entry VMs for clients of a zone; computed once for each zone
+  /// that is asked for.
+  const std::vector<LookupEntry> &getEntryVms(const std::string &Zone) const {
+    std::lock_guard Lock(Mutex_);
+    auto [Found, IsNew] = EntryVms_.try_emplace(Zone);
+    if (IsNew)
+      Found->second = orderEntryVms(*Config_, Members_, Zone);
+    return Found->second;
+  }
+
   /// \return The member called \p Vm, or null.
   const Member *findMember(const std::string &Vm) const {
     for (const Member &M : Members_)
@@ -27,6 +40,11 @@
         return &M;
     return nullptr;
   }
+
+private:
+  mutable std::mutex Mutex_; ///< Guards EntryVms_.
+  mutable std::map<std::string, std::vector<LookupEntry>>
+      EntryVms_; ///< By zone; entries stay where they are.
 };
 
 using SnapshotPtr = std::shared_ptr<const Snapshot>;
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -5,6 +5,7 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 
@@ -17,6 +18,9 @@
 constexpr int KeepaliveTimeoutMs = 1000;
 constexpr int MinReconnectMs = 100;
 constexpr int MaxReconnectMs = 1000;
+/// Most connections to peers that are kept; a larger fleet is reached by
+/// opening the least recently used one anew.
+constexpr size_t MaxChannels = 96;
 
 /// Answers a call when the handler does.
 template <typename Request, typename Reply>
@@ -102,6 +106,7 @@
 struct Channel {
   std::shared_ptr<grpc::Channel> Channel_; ///< Connection.
   std::shared_ptr<wire::Peer::Stub> Stub_; ///< Calls on it.
+  uint64_t LastUse_ = 0;                   ///< Grows with each use.
 };
 
 class GrpcPeerClient final : public PeerClient {
@@ -149,8 +154,11 @@
   Channel getChannel(const std::string &Address) {
     std::lock_guard Lock(Mutex_);
     Channel &Known = Channels_[Address];
+    Known.LastUse_ = ++Uses_;
     if (Known.Channel_)
       return Known;
+    if (Channels_.size() > MaxChannels)
+      dropLeastUsed();
     grpc::ChannelArguments Args;
     Args.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, KeepaliveMs);
     Args.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepaliveTimeoutMs);
@@ -167,6 +175,15 @@
     return Known;
   }
 
+  /// Calls that are out keep their channel until they end.
+  void dropLeastUsed() {
+    auto Least = std::min_element(
+        Channels_.begin(), Channels_.end(), [](const auto &A, const auto &B) {
+          return A.second.LastUse_ < B.second.LastUse_;
+        });
+    Channels_.erase(Least);
+  }
+
   template <typename Request, typename Reply, typename Start>
   std::function<void()> call(const std::string &Address, Request Body,
                              Duration Timeout, PeerReplied<Reply> Replied,
@@ -198,6 +215,7 @@
 
   std::mutex Mutex_;                        ///< Guards Channels_.
   std::map<std::string, Channel> Channels_; ///< By address.
+  uint64_t Uses_ = 0;                       ///< Uses of all channels.
 };
 
 } // namespace
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -14,6 +14,9 @@
 constexpr Duration SuspectTime = seconds(2);
 constexpr Duration ForgetTime = std::chrono::minutes(10);
 constexpr double SpreadFactor = 3.0;
+/// Heartbeats between two that ask for the whole list, which repairs what the
+/// spreading of changes has missed.
+constexpr unsigned WholeListInterval = 256;
 constexpr size_t MaxUpdates = 32; ///< Bounds the size of a heartbeat.
 
 /// FNV-1a: the same value on every VM, which std::hash does not promise.
@@ -68,11 +71,7 @@
 void Membership::setKeyEpoch(uint64_t Epoch) { Self_.KeyEpoch_ = Epoch; }
 
 void Membership::addSeed(const std::string &Address) {
-  bool IsKnown =
-      std::any_of(Peers_.begin(), Peers_.end(), [&](const auto &Item) {
-        return Item.second.Member_.PeerAddress_ == Address;
-      });
-  if (!IsKnown && Address != Self_.PeerAddress_)
+  if (!findByAddress(Address) && Address != Self_.PeerAddress_)
     Seeds_.insert(Address);
 }
 
@@ -101,29 +100,39 @@
 }
 
 std::vector<Member> Membership::takeUpdates() {
-  std::vector<Peer *> Fresh;
-  for (auto &[Vm, Known] : Peers_)
-    if (Known.SendsLeft_ > 0)
-      Fresh.push_back(&Known);
-  std::stable_sort(Fresh.begin(), Fresh.end(),
-                   [](const Peer *A, const Peer *B) {
-                     return A->SendsLeft_ > B->SendsLeft_;
-                   });
-  if (Fresh.size() > MaxUpdates)
-    Fresh.resize(MaxUpdates);
+  size_t Count = std::min(Fresh_.size(), MaxUpdates);
+  auto Last = Fresh_.begin() + static_cast<std::ptrdiff_t>(Count);
+  // What was sent least goes first.
+  std::partial_sort(Fresh_.begin(), Last, Fresh_.end(),
+                    [this](const std::string &A, const std::string &B) {
+                      return Peers_.at(A).SendsLeft_ > Peers_.at(B).SendsLeft_;
+                    });
   std::vector<Member> Updates;
-  for (Peer *Known : Fresh) {
-    --Known->SendsLeft_;
-    Updates.push_back(Known->Member_);
+  for (auto Vm = Fresh_.begin(); Vm != Last; ++Vm) {
+    Peer &Known = Peers_.at(*Vm);
+    --Known.SendsLeft_;
+    Updates.push_back(Known.Member_);
   }
+  std::erase_if(Fresh_, [this](const std::string &Vm) {
+    return Peers_.at(Vm).SendsLeft_ == 0;
+  });
   return Updates;
 }
 
+Membership::Peer *Membership::findByAddress(const std::string &Address) {
+  auto Vm = ByAddress_.find(Address);
+  auto Found = Vm == ByAddress_.end() ? Peers_.end() : Peers_.find(Vm->second);
+  bool IsCurrent =
+      Found != Peers_.end() && Found->second.Member_.PeerAddress_ == Address;
+  return IsCurrent ? &Found->second : nullptr;
+}
+
 HeartbeatBody Membership::makeHeartbeat(const std::string &Address) {
-  HeartbeatBody Body{Self_, takeUpdates(), Seeds_.contains(Address)};
-  for (const auto &[Vm, Known] : Peers_)
-    if (Known.Member_.PeerAddress_ == Address)
-      addDoubt(Known.Member_, Body);
+  bool WantsAll =
+      Seeds_.contains(Address) || ++Heartbeats_ % WholeListInterval == 0;
+  HeartbeatBody Body{Self_, takeUpdates(), WantsAll};
+  if (const Peer *Known = findByAddress(Address))
+    addDoubt(Known->Member_, Body);
   return Body;
 }
 
@@ -185,22 +194,22 @@
   if (IsNew || Known.Member_.State_ != Update.State_)
     Known.StateSince_ = Now;
   Known.Member_ = Update;
+  ByAddress_[Update.PeerAddress_] = Update.Vm_;
+  if (Known.SendsLeft_ == 0)
+    Fresh_.push_back(Update.Vm_);
   Known.SendsLeft_ = getSpreadCount();
   Changed_ = true;
 }
 
 void Membership::noteFailure(const std::string &Address, Time Now) {
-  for (auto &[Vm, Known] : Peers_) {
-    if (Known.Member_.PeerAddress_ != Address ||
-        Known.Member_.State_ == MemberState::Gone ||
-        Known.Member_.State_ == MemberState::Suspect)
-      continue;
-    Member Update = Known.Member_;
-    Update.State_ = Update.State_ == MemberState::Leaving
-                        ? MemberState::Gone
-                        : MemberState::Suspect;
-    merge(Update, Now);
-  }
+  Peer *Known = findByAddress(Address);
+  if (!Known || Known->Member_.State_ == MemberState::Gone ||
+      Known->Member_.State_ == MemberState::Suspect)
+    return;
+  Member Update = Known->Member_;
+  Update.State_ = Update.State_ == MemberState::Leaving ? MemberState::Gone
+                                                        : MemberState::Suspect;
+  merge(Update, Now);
 }
 
 void Membership::tick(Time Now) {
@@ -212,9 +221,12 @@
     Update.State_ = MemberState::Gone;
     merge(Update, Now);
   }
-  std::erase_if(Peers_, [=](const auto &Item) {
-    return Item.second.Member_.State_ == MemberState::Gone &&
-           Now >= Item.second.StateSince_ + ForgetTime;
+  std::erase_if(Peers_, [=, this](const auto &Item) {
+    bool IsForgotten = Item.second.Member_.State_ == MemberState::Gone &&
+                       Now >= Item.second.StateSince_ + ForgetTime;
+    if (IsForgotten)
+      std::erase(Fresh_, Item.first);
+    return IsForgotten;
   });
 }
 
--- a/src/process/membership_base.h
+++ b/src/process/membership_base.h
@@ -81,6 +81,7 @@
     unsigned SendsLeft_ = 0; ///< Heartbeats that still carry the record.
   };
 
+  Peer *findByAddress(const std::string &Address);
   void merge(const Member &Update, Time Now);
   void refresh(const Member &Sender);
   static void addDoubt(const Member &Known, HeartbeatBody &Body);
@@ -89,12 +90,15 @@
   unsigned getSpreadCount() const;
   void refillRound();
 
-  Member Self_;                       ///< This entry VM.
-  unsigned SelfSendsLeft_ = 0;        ///< Heartbeats that carry our change.
-  std::set<std::string> Seeds_;       ///< Addresses not yet seen as members.
+  Member Self_;                 ///< This entry VM.
+  unsigned SelfSendsLeft_ = 0;  ///< Heartbeats that carry our change.
+  std::set<std::string> Seeds_; ///< Addresses not yet seen as members.
+  std::map<std::string, std::string> ByAddress_; ///< Name by peer address.
+  std::vector<std::string> Fresh_;    ///< Others with SendsLeft_ over zero.
   std::map<std::string, Peer> Peers_; ///< Others by name.
   std::vector<std::string> Round_;    ///< Addresses left in this round.
   std::mt19937_64 Random_;            ///< Orders each round.
+  unsigned Heartbeats_ = 0;           ///< Sent so far.
   bool Changed_ = true;               ///< Since the last takeChanged().
 };
 
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -85,10 +85,14 @@
     return std::tuple(IsDoubted, E.Nearness_,
                       getLatency(Config, Region, E.Member_->Region_));
   };
-  std::stable_sort(Entries.begin(), Entries.end(),
-                   [&](const LookupEntry &A, const LookupEntry &B) {
-                     return Rank(A) < Rank(B);
-                   });
+  size_t Wanted = std::min(Entries.size(), MaxLookupEntries);
+  std::partial_sort(
+      Entries.begin(), Entries.begin() + static_cast<std::ptrdiff_t>(Wanted),
+      Entries.end(), [&](const LookupEntry &A, const LookupEntry &B) {
+        return Rank(A) < Rank(B);
+      });
+  if (Entries.size() > MaxLookupEntries)
+    Entries.resize(MaxLookupEntries);
   for (LookupEntry &Entry : Entries)
     if (Rank(Entry) == Rank(Entries.front()))
       Entry.Weight_ = FullWeight;
--- a/src/process/placement_func.h
+++ b/src/process/placement_func.h
@@ -41,8 +41,12 @@
   unsigned Weight_;      ///< Share of the caller's requests.
 };
 
+/// Most entry VMs that a look-up names.
+inline constexpr size_t MaxLookupEntries = 8;
+
 /// Orders the entry VMs for a client: those in the nearest class that has any
-/// get all the weight, the rest follow as a fallback.
+/// get all the weight, the next few follow as a fallback. At most
+/// MaxLookupEntries are named, so that an answer does not grow with the fleet.
 /// \param HomeZone Client's home availability zone.
 std::vector<LookupEntry> orderEntryVms(const Configuration &Config,
                                        const MemberList &Members,
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -63,6 +63,7 @@
   bool IsGranted = Traits.Grant_.isValid();
   Request &R = Requests_[Index];
   R.Traits_ = std::move(Traits);
+  Due_.push({R.Traits_.Deadline_, DueKind::Deadline, Index.get()});
   if (R.Traits_.Deadline_ <= Now) {
     finish(Index, ResultCode::DeadlineBeforeStart, {}, Now);
     return Index;
@@ -213,6 +214,12 @@
   New.Started_ = Now;
   New.Expected_ = History_.getEstimate(R.Traits_.Route_);
   New.Charged_ = std::exchange(R.NextCharge_, std::nullopt);
+  if (R.Traits_.Repeatable_)
+    Due_.push({getSilentTime(New), DueKind::Silent, Attempt.get()});
+  bool MayHedge = Limits_.Hedges_ && R.Traits_.Repeatable_ && !New.Charged_ &&
+                  New.Expected_ > Duration::zero();
+  if (MayHedge)
+    Due_.push({Now + getHedgeDelay(New), DueKind::Hedge, Attempt.get()});
   return Attempt;
 }
 
@@ -315,26 +322,27 @@
 }
 
 void Dispatcher::hedge(Time Now) {
-  std::vector<RequestIndex> Late;
-  for (const auto &[Index, A] : Attempts_) {
-    const Request &R = Requests_.at(A.Request_);
-    if (A.Abandoned_ || !R.Traits_.Repeatable_ || R.Running_.size() != 1 ||
-        R.Phase_ != Phase::Running || !A.Server_.isValid())
-      continue;
-    if (A.Expected_ > Duration::zero() && Now >= A.Started_ + getHedgeDelay(A))
-      Late.push_back(A.Request_);
-  }
-  std::sort(Late.begin(), Late.end());
-  for (RequestIndex Index : Late) {
+  for (auto Next = Late_.begin(); Next != Late_.end();) {
     // A hedge leaves room for the next arrivals.
     if (getFreeOwn(Now) * HedgeRoomShare < Pool_.getUsableSlots(Now))
       return;
+    auto Found = Attempts_.find(*Next);
+    bool IsOver = Found == Attempts_.end() || Found->second.Abandoned_ ||
+                  !Found->second.Server_.isValid();
+    RequestIndex Index = IsOver ? RequestIndex() : Found->second.Request_;
+    if (IsOver || Requests_.at(Index).Running_.size() != 1) {
+      Next = Late_.erase(Next);
+      continue;
+    }
     Request &R = Requests_.at(Index);
-    R.AvoidServer_ = Attempts_.at(R.Running_.front()).Server_;
-    if (!Pool_.pick(Now, R.AvoidServer_) || !payForAttempt(R))
+    R.AvoidServer_ = Found->second.Server_;
+    if (!Pool_.pick(Now, R.AvoidServer_) || !payForAttempt(R)) {
+      ++Next;
       continue;
+    }
     ++Hedges_;
     startAtServer(Index, Now, "hedge");
+    Next = Late_.erase(Next);
   }
 }
 
@@ -426,6 +434,8 @@
   R.ReadyAt_ = R.Failures_ == 1 ? Now : Now + Pause;
   if (R.ReadyAt_ <= Now)
     queue(Index);
+  else
+    Due_.push({R.ReadyAt_, DueKind::BackOff, Index.get()});
 }
 
 void Dispatcher::cancelAttempts(Request &R) {
@@ -469,56 +479,64 @@
   pump(Now);
 }
 
-void Dispatcher::expireDeadlines(Time Now) {
-  std::vector<RequestIndex> Expired;
-  std::vector<AttemptIndex> Silent;
-  for (const auto &[Index, R] : Requests_) {
-    if (R.Phase_ == Phase::Finished)
-      continue;
-    if (R.Traits_.Deadline_ <= Now)
-      Expired.push_back(Index);
-    else if (R.Traits_.Repeatable_)
-      for (AttemptIndex Attempt : R.Running_) {
-        const struct Attempt &A = Attempts_.at(Attempt);
-        if (Now >= getSilentTime(A))
-          Silent.push_back(Attempt);
-      }
+void Dispatcher::expireDeadline(RequestIndex Index, Time Now) {
+  auto Found = Requests_.find(Index);
+  if (Found == Requests_.end() || Found->second.Phase_ == Phase::Finished)
+    return;
+  const Request &R = Found->second;
+  bool MayRun = !R.Running_.empty() || R.MayHaveRun_;
+  bool HasNoServer =
+      R.Failures_ == 0 && !Pool_.hasLiveServer() && Peers_.empty();
+  ResultCode NotRun =
+      HasNoServer ? ResultCode::NoServer : ResultCode::DeadlineBeforeStart;
+  finish(Index, MayRun ? ResultCode::DeadlineAfterStart : NotRun, {}, Now);
+}
+
+void Dispatcher::checkSilence(AttemptIndex Attempt, Time Now) {
+  auto Found = Attempts_.find(Attempt);
+  if (Found == Attempts_.end() || Found->second.Abandoned_)
+    return;
+  const struct Attempt &A = Found->second;
+  // Longer runs may have been seen since the attempt started.
+  if (Time Silent = getSilentTime(A); Now < Silent) {
+    Due_.push({Silent, DueKind::Silent, Attempt.get()});
+    return;
   }
-  std::sort(Expired.begin(), Expired.end());
-  for (RequestIndex Index : Expired) {
-    const Request &R = Requests_.at(Index);
-    bool MayRun = !R.Running_.empty() || R.MayHaveRun_;
-    bool NeverTried = R.Failures_ == 0;
-    ResultCode NotRun = NeverTried && !Pool_.hasLiveServer() && Peers_.empty()
-                            ? ResultCode::NoServer
-                            : ResultCode::DeadlineBeforeStart;
-    finish(Index, MayRun ? ResultCode::DeadlineAfterStart : NotRun, {}, Now);
+  History_.recordUnfinished(Requests_.at(A.Request_).Traits_.Route_,
+                            Now - A.Started_);
+  Actions_.push_back(CancelAttempt{Attempt});
+  finishAttempt(Attempt, ResultCode::ConnectionSilent, Now);
+}
+
+void Dispatcher::handle(const Due &Next, Time Now) {
+  switch (Next.Kind_) {
+  case DueKind::Deadline:
+    return expireDeadline(RequestIndex(Next.Id_), Now);
+  case DueKind::BackOff: {
+    auto Found = Requests_.find(RequestIndex(Next.Id_));
+    if (Found != Requests_.end() && Found->second.Phase_ == Phase::BackOff)
+      queue(Found->first);
+    return;
   }
-  std::sort(Silent.begin(), Silent.end());
-  for (AttemptIndex Attempt : Silent) {
-    if (!Attempts_.contains(Attempt) || Attempts_.at(Attempt).Abandoned_)
-      continue;
-    const struct Attempt &A = Attempts_.at(Attempt);
-    History_.recordUnfinished(Requests_.at(A.Request_).Traits_.Route_,
-                              Now - A.Started_);
-    Actions_.push_back(CancelAttempt{Attempt});
-    finishAttempt(Attempt, ResultCode::ConnectionSilent, Now);
+  case DueKind::Hedge:
+    if (Attempts_.contains(AttemptIndex(Next.Id_)))
+      Late_.insert(AttemptIndex(Next.Id_));
+    return;
+  case DueKind::Silent:
+    return checkSilence(AttemptIndex(Next.Id_), Now);
   }
 }
 
-void Dispatcher::endBackOffs(Time Now) {
-  std::vector<RequestIndex> Ready;
-  for (const auto &[Index, R] : Requests_)
-    if (R.Phase_ == Phase::BackOff && R.ReadyAt_ <= Now)
-      Ready.push_back(Index);
-  std::sort(Ready.begin(), Ready.end());
-  for (RequestIndex Index : Ready)
-    queue(Index);
+void Dispatcher::handleDue(Time Now) {
+  while (!Due_.empty() && Due_.top().At_ <= Now) {
+    Due Next = Due_.top();
+    Due_.pop();
+    handle(Next, Now);
+  }
 }
 
 void Dispatcher::tick(Time Now) {
-  expireDeadlines(Now);
-  endBackOffs(Now);
+  handleDue(Now);
   Wallet_.collect(Now, false);
   pump(Now);
   if (!Queue_.isEmpty()) {
@@ -544,21 +562,8 @@
     if (!Next || At < *Next)
       Next = At;
   };
-  for (const auto &[Index, R] : Requests_) {
-    if (R.Phase_ == Phase::BackOff)
-      Consider(R.ReadyAt_);
-    if (R.Phase_ != Phase::Finished)
-      Consider(R.Traits_.Deadline_);
-  }
-  for (const auto &[Index, A] : Attempts_) {
-    const Request &R = Requests_.at(A.Request_);
-    if (A.Abandoned_ || !R.Traits_.Repeatable_)
-      continue;
-    Consider(getSilentTime(A));
-    Time Hedge = A.Started_ + getHedgeDelay(A);
-    if (Limits_.Hedges_ && A.Expected_ > Duration::zero() && Hedge > Now)
-      Consider(Hedge);
-  }
+  if (!Due_.empty())
+    Consider(Due_.top().At_);
   for (const SlotAsk &Ask : Asks_)
     Consider(Ask.WaitUntil_);
   if (!Queue_.isEmpty()) {
--- a/src/request/dispatcher_base.h
+++ b/src/request/dispatcher_base.h
@@ -14,6 +14,8 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <deque>
+#include <queue>
+#include <set>
 
 namespace cranberry {
 
@@ -108,6 +110,24 @@
   bool isIdle() const { return Requests_.empty(); }
 
 private:
+  /// What is due for a request or an attempt.
+  enum class DueKind : uint8_t {
+    Deadline, ///< Request's deadline.
+    BackOff,  ///< End of a request's back-off.
+    Hedge,    ///< An attempt is late enough for a hedge.
+    Silent,   ///< An attempt may have gone silent.
+  };
+
+  /// Something to look at when its time comes; what has ended by then is
+  /// passed over.
+  struct Due {
+    Time At_;      ///< When.
+    DueKind Kind_; ///< What.
+    uint64_t Id_;  ///< Request or attempt.
+
+    friend bool operator<(const Due &A, const Due &B) { return A.At_ > B.At_; }
+  };
+
   enum class Phase : uint8_t {
     Waiting,  ///< In the queue.
     BackOff,  ///< Returns to the queue at ReadyAt_.
@@ -155,8 +175,10 @@
   bool payForAttempt(Request &R);
   void hedge(Time Now);
   void yieldHedges();
-  void expireDeadlines(Time Now);
-  void endBackOffs(Time Now);
+  void handleDue(Time Now);
+  void handle(const Due &Next, Time Now);
+  void expireDeadline(RequestIndex Index, Time Now);
+  void checkSilence(AttemptIndex Attempt, Time Now);
   void retryOrFinish(RequestIndex Index, ResultCode Code, Time Now);
   void queue(RequestIndex Index);
   void backOff(RequestIndex Index, Time Now);
@@ -184,10 +206,12 @@
   absl::flat_hash_map<RequestIndex, Request> Requests_; ///< Live requests.
   absl::flat_hash_map<AttemptIndex, Attempt> Attempts_; ///< Live attempts.
   Actions Actions_;                                     ///< Not taken yet.
-  uint64_t NextRequest_ = 1; ///< Number of the next request.
-  uint64_t NextAttempt_ = 1; ///< Number of the next attempt.
-  unsigned long Hedges_ = 0; ///< Hedges so far.
-  unsigned LongInUse_ = 0;   ///< Own slots that run long work.
+  std::priority_queue<Due> Due_;                        ///< By time.
+  std::set<AttemptIndex> Late_; ///< Attempts that are to be hedged.
+  uint64_t NextRequest_ = 1;    ///< Number of the next request.
+  uint64_t NextAttempt_ = 1;    ///< Number of the next attempt.
+  unsigned long Hedges_ = 0;    ///< Hedges so far.
+  unsigned LongInUse_ = 0;      ///< Own slots that run long work.
 };
 
 } // namespace cranberry
--- a/src/version/configuration.cpp
+++ b/src/version/configuration.cpp
@@ -23,9 +23,9 @@
 }
 
 /// Fills one configuration, object by object in the order of their kinds.
-class Builder {
+class Filler {
 public:
-  explicit Builder(Configuration &Target) : Target_(Target) {}
+  explicit Filler(Configuration &Target) : Target_(Target) {}
 
   void add(const ObjectId &Id, const json &Body) {
     switch (Id.Kind_) {
@@ -49,21 +49,18 @@
       Target_.Limits_.push_back(
           {Body.at("region"), Body.at("service"), Body.at("maxConcurrent")});
       return;
-    case ObjectKind::Blocks:
-      return addBlocks(Body);
     case ObjectKind::Drain:
       if (Body.contains("server"))
         Target_.DrainedServers_.insert(Body.at("server"));
       else
         Target_.DrainedVms_.insert(Body.at("vm"));
       return;
+    case ObjectKind::Blocks:
     case ObjectKind::Status:
       return;
     }
   }
 
-  void finish() { Target_.Blocks_ = ClientBlockTable(std::move(Routes_)); }
-
 private:
   void addService(const std::string &Name, const json &Body) {
     ServiceConfig Service;
@@ -83,19 +80,7 @@
                               Body.value("latencyMs", 0U)});
   }
 
-  void addBlocks(const json &Body) {
-    for (const json &Entry : Body.at("blocks")) {
-      std::optional<ClientBlock> Block =
-          parseClientBlock(Entry.at("prefix").get_ref<const std::string &>());
-      const std::string &Name = Entry.at("zone").get_ref<const std::string &>();
-      if (const ZoneConfig *Zone = Target_.findZone(Name); Zone && Block)
-        Routes_.push_back({*Block, ZoneIndex(static_cast<uint16_t>(
-                                       Zone - Target_.Zones_.data()))});
-    }
-  }
-
-  Configuration &Target_;                ///< Being filled.
-  std::vector<ClientBlockRoute> Routes_; ///< Blocks of all objects so far.
+  Configuration &Target_; ///< Being filled.
 };
 
 } // namespace
@@ -147,21 +132,66 @@
   return Count;
 }
 
-ConfigurationPtr buildConfiguration(const ObjectStore &Store) {
+bool ConfigurationBuilder::addBlocks(const Object &Known, Reason &Why) {
+  ParsedBlocks &Parsed = Blocks_[Known.Id_.Name_];
+  if (Parsed.Revision_ != Known.Revision_) {
+    auto Any = [](const ObjectId &) { return true; };
+    std::optional<json> Body = parseObject(Known.Id_, Known.Body_, Any, Why);
+    if (!Body)
+      return false;
+    Parsed = {Known.Revision_, {}, {}};
+    std::map<std::string, uint16_t> Numbers;
+    for (const json &Entry : Body->at("blocks")) {
+      std::string Zone = Entry.at("zone");
+      auto Next = static_cast<uint16_t>(Numbers.size());
+      auto [Number, IsNew] = Numbers.try_emplace(Zone, Next);
+      if (IsNew)
+        Parsed.Zones_.push_back(Zone);
+      Parsed.Routes_.push_back(
+          {*parseClientBlock(Entry.at("prefix").get<std::string>()),
+           ZoneIndex(Number->second)});
+    }
+  }
+  std::vector<ZoneIndex> Indices;
+  for (const std::string &Name : Parsed.Zones_) {
+    const ZoneConfig *Zone = Target_->findZone(Name);
+    Indices.emplace_back();
+    if (Zone)
+      Indices.back() =
+          ZoneIndex(static_cast<uint16_t>(Zone - Target_->Zones_.data()));
+    else
+      Why = {ResultCode::ObjectDanglingReference, "blocks",
+             "blocks of zone '" + Name + "' are left out"};
+  }
+  for (const ClientBlockRoute &Route : Parsed.Routes_)
+    if (ZoneIndex Zone = Indices[Route.Zone_.get()]; Zone.isValid())
+      Routes_.push_back({Route.Block_, Zone});
+  return Why.Code_ == ResultCode::Ok;
+}
+
+ConfigurationPtr ConfigurationBuilder::build(const ObjectStore &Store) {
   auto Result = std::make_shared<Configuration>();
   Result->Revision_ = Store.getRevision();
-  Builder Build(*Result);
+  Target_ = Result.get();
+  Routes_.clear();
+  Filler Fill(*Result);
   auto Exists = [&](const ObjectId &Id) { return Store.find(Id) != nullptr; };
   for (const auto &[Id, Known] : Store.getObjects()) {
     if (Known.Deleted_ || Id.Kind_ == ObjectKind::Status)
       continue;
     Reason Why;
-    if (std::optional<json> Body = parseObject(Id, Known.Body_, Exists, Why))
-      Build.add(Id, *Body);
+    bool IsUsed = true;
+    if (Id.Kind_ == ObjectKind::Blocks)
+      IsUsed = addBlocks(Known, Why);
+    else if (std::optional<json> Body =
+                 parseObject(Id, Known.Body_, Exists, Why))
+      Fill.add(Id, *Body);
     else
+      IsUsed = false;
+    if (!IsUsed)
       Result->Ignored_.push_back({Id, formatReason(Why)});
   }
-  Build.finish();
+  Result->Blocks_ = ClientBlockTable(std::move(Routes_));
   return Result;
 }
 
--- a/test/unit/dispatcher_test.cpp
+++ b/test/unit/dispatcher_test.cpp
@@ -88,6 +88,55 @@
   CHECK(World.getEnds().back().Runs_ == 1);
 }
 
+TEST_CASE(
+    "a hedge that is refused does not hide that the first attempt may have "
+    "run") {
+  Dispatcher D(DispatcherLimits{});
+  Time Now{seconds(10)};
+  D.setServers({{"s:1", 4, false}, {"s:2", 4, false}}, Now);
+  std::vector<AttemptIndex> Started;
+  std::optional<ResultCode> End;
+  GrantIndex Grant;
+  auto Take = [&] {
+    for (const Action &Next : D.takeActions()) {
+      if (const auto *Start = std::get_if<StartServerAttempt>(&Next))
+        Started.push_back(Start->Attempt_);
+      if (const auto *Finish = std::get_if<FinishRequest>(&Next))
+        End = Finish->Code_;
+      if (const auto *Answer = std::get_if<AnswerAsk>(&Next))
+        Grant = Answer->Grant_;
+    }
+  };
+  auto Add = [&](GrantIndex Under) {
+    RequestTraits Traits;
+    Traits.Arrived_ = Now;
+    Traits.Deadline_ = Now + seconds(5);
+    Traits.Grant_ = Under;
+    D.addRequest(std::move(Traits), Now);
+    Take();
+  };
+  for (int I = 0; I < 100; ++I) {
+    Add(GrantIndex::invalid());
+    Now += milliseconds(10);
+    D.finishAttempt(Started.back(), ResultCode::Ok, Now);
+    Take();
+  }
+  D.addAsk({AskIndex(1), 1, false, Now}, Now);
+  Take();
+  Started.clear();
+  End.reset();
+  Add(Grant);
+  Now += milliseconds(60);
+  D.tick(Now);
+  Take();
+  REQUIRE(Started.size() == 2);
+  D.finishAttempt(Started[0], ResultCode::ServerAnswerLost, Now);
+  D.finishAttempt(Started[1], ResultCode::ServerRefused, Now);
+  Take();
+  REQUIRE(End);
+  CHECK(getOutcome(*End) == Outcome::Unknown);
+}
+
 TEST_CASE("random faults: not run is never said of what ran, and what may not "
           "be repeated runs at most once") {
   for (uint64_t Seed = 1; Seed <= 30; ++Seed) {
