--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -51,9 +51,6 @@
       "cranberry_attempts_total", "Attempts by service, target and result");
   prometheus::Family<prometheus::Counter> &Platform_ = counter(
       "cranberry_platform_calls_total", "Calls to the platform by operation");
-  prometheus::Family<prometheus::Counter> &Silent_ =
-      counter("cranberry_silent_connections_total",
-              "Connections dropped because they made no progress");
   prometheus::Family<prometheus::Counter> &Grants_ =
       counter("cranberry_granted_slots_total", "Slots granted and received");
   std::mutex Mutex_; ///< Guards Gauges_.
@@ -99,10 +96,6 @@
       .Increment();
 }
 
-void Metrics::countSilentConnection(const char *Side) {
-  Families_->Silent_.Add({{"side", Side}}).Increment();
-}
-
 void Metrics::countGrant(const std::string &Service, const char *Direction,
                          unsigned Slots) {
   Families_->Grants_.Add({{"service", Service}, {"direction", Direction}})
--- a/src/daemon/metrics_base.h
+++ b/src/daemon/metrics_base.h
@@ -23,7 +23,6 @@
   void countAttempt(const std::string &Service, const char *Target,
                     ResultCode Code);
   void countPlatformCall(const char *Operation, ResultCode Code);
-  void countSilentConnection(const char *Side);
   void countGrant(const std::string &Service, const char *Direction,
                   unsigned Slots);
   void setGauge(const char *Name, const std::string &Label, double Value);
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -86,11 +86,11 @@
                        {"draining", S.IsDraining_},
                        {"down", S.IsDown_},
                        {"slow", S.IsSlow_}});
-  return {{"queued", D.Queued_},       {"inUse", D.InUse_},
-          {"usableSlots", D.Usable_},  {"reservedSlots", D.Reserved_},
-          {"addedAttempts", D.Added_}, {"hedges", D.Hedges_},
-          {"keys", Stats.Keys_},       {"openCalls", Stats.OpenCalls_},
-          {"servers", Servers}};
+  return {{"queued", D.Queued_},           {"inUse", D.InUse_},
+          {"usableSlots", D.Usable_},      {"reservedSlots", D.Reserved_},
+          {"addedAttempts", D.Added_},     {"hedges", D.Hedges_},
+          {"silent", D.Silent_},           {"keys", Stats.Keys_},
+          {"openCalls", Stats.OpenCalls_}, {"servers", Servers}};
 }
 
 /// Lists what an operator should look at.
--- a/src/daemon/service_traffic.cpp
+++ b/src/daemon/service_traffic.cpp
@@ -48,6 +48,7 @@
   std::vector<ServerSpec> Specs;
   std::vector<PeerSpec> Peers;
   unsigned OwnedSlots = 0;
+  std::vector<std::string> OwnedBefore = std::move(Owned_);
   Owned_.clear();
   for (const ServerOwner &Owner :
        getServerOwners(Config, Now.Members_, Name_)) {
@@ -72,6 +73,7 @@
     Peers.push_back({Owner.Vm_, Tier,
                      getLatency(Config, Now.Self_.Region_, Peer->Region_)});
   }
+  logOwnership(OwnedBefore);
   DispatcherLimits Limits;
   if (const ServiceConfig *Service = Config.findService(Name_))
     Limits.MaxQueue_ = Service->MaxQueue_;
@@ -88,6 +90,22 @@
   perform();
 }
 
+void ServiceTraffic::logOwnership(
+    const std::vector<std::string> &Before) const {
+  auto Has = [](const std::vector<std::string> &List, const std::string &Name) {
+    return std::find(List.begin(), List.end(), Name) != List.end();
+  };
+  Revision Version = Context_.Snapshot_->Config_->Revision_;
+  for (const std::string &Server : Owned_)
+    if (!Has(Before, Server))
+      logDecision("owner", Server, Name_, Context_.Settings_->Vm_,
+                  "rendezvous over serving entry VMs", Version);
+  for (const std::string &Server : Before)
+    if (!Has(Owned_, Server))
+      logDecision("owner", Server, Name_, "not this entry VM",
+                  "members or configuration changed", Version);
+}
+
 bool ServiceTraffic::isRepeatable(const std::string &Method) const {
   const ServiceConfig *Service =
       Context_.Snapshot_->Config_->findService(Name_);
@@ -534,8 +552,14 @@
   // The holder counts from when it asked, so the wait here is added.
   Reply.set_ttl_ms(static_cast<uint32_t>(toMilliseconds(Answer.Ttl_ + Waited)));
   Context_.Metrics_->countGrant(Name_, "given", Answer.Slots_);
+  if (Answer.Slots_ > 0)
+    logDecision(
+        "grant", std::to_string(Answer.Grant_.get()), Name_,
+        std::to_string(Answer.Slots_) + " slots to " + AskVms_[Answer.Ask_],
+        "free here, waited for there", Context_.Snapshot_->Config_->Revision_);
   Found->second(std::move(Reply));
   Asks_.erase(Found);
+  AskVms_.erase(Answer.Ask_);
   AskTimes_.erase(Answer.Ask_);
 }
 
@@ -545,6 +569,7 @@
   AskIndex Index(NextAsk_++);
   Asks_[Index] = std::move(Respond);
   AskTimes_[Index] = Now;
+  AskVms_[Index] = Ask.vm();
   Duration Wait = std::min(MaxAskWait, Duration(milliseconds(Ask.wait_ms())));
   bool IsFar = Ask.region() != Context_.Settings_->Region_;
   Dispatcher_.addAsk({Index, std::max(1U, Ask.wanted()), IsFar, Now + Wait},
--- a/src/daemon/service_traffic_base.h
+++ b/src/daemon/service_traffic_base.h
@@ -104,6 +104,7 @@
                       std::optional<wire::ForwardReply> Reply);
   void endAttempt(AttemptIndex Attempt, CallReply Reply);
   void noteServerState(const std::string &Server, const HttpResult &Result);
+  void logOwnership(const std::vector<std::string> &Before) const;
   bool isRepeatable(const std::string &Method) const;
   Duration getTimeout(const CallSpec &Call) const;
   LinkBudget *findLink(const std::string &Region);
@@ -122,6 +123,7 @@
   std::map<std::string, RequestIndex> KeyedCalls_; ///< Running, by key.
   std::map<AskIndex, PeerRespond<wire::SlotReply>> Asks_; ///< Not answered.
   std::map<AskIndex, Time> AskTimes_;                     ///< When they came.
+  std::map<AskIndex, std::string> AskVms_;                ///< Who asked.
   uint64_t NextAsk_ = 1;        ///< Number of the next question.
   Time NextWake_ = Time::max(); ///< Earliest timer that is set.
 };
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -504,6 +504,7 @@
   }
   History_.recordUnfinished(Requests_.at(A.Request_).Traits_.Route_,
                             Now - A.Started_);
+  ++Silent_;
   Actions_.push_back(CancelAttempt{Attempt});
   finishAttempt(Attempt, ResultCode::ConnectionSilent, Now);
 }
@@ -584,9 +585,13 @@
 }
 
 DispatcherStats Dispatcher::getStats(Time Now) {
-  return {Queue_.getSize(),          Pool_.getInUse(),
-          Pool_.getUsableSlots(Now), Ledger_.getReserved(Now),
-          Budget_.getSpent(),        Hedges_};
+  return {Queue_.getSize(),
+          Pool_.getInUse(),
+          Pool_.getUsableSlots(Now),
+          Ledger_.getReserved(Now),
+          Budget_.getSpent(),
+          Hedges_,
+          Silent_};
 }
 
 } // namespace cranberry
--- a/src/request/dispatcher_base.h
+++ b/src/request/dispatcher_base.h
@@ -54,6 +54,7 @@
   unsigned Reserved_ = 0;    ///< Slots granted to peers and not in use.
   unsigned long Added_ = 0;  ///< Retries and hedges so far.
   unsigned long Hedges_ = 0; ///< Hedges so far.
+  unsigned long Silent_ = 0; ///< Attempts dropped as silent so far.
 };
 
 /// Owns the queue of one service on one entry VM.
@@ -212,6 +213,7 @@
   uint64_t NextAttempt_ = 1;    ///< Number of the next attempt.
   unsigned long Hedges_ = 0;    ///< Hedges so far.
   unsigned LongInUse_ = 0;      ///< Own slots that run long work.
+  unsigned long Silent_ = 0;    ///< Attempts dropped as silent so far.
 };
 
 } // namespace cranberry
