--- a/standin/child_process_base.h
+++ b/standin/child_process_base.h
@@ -31,6 +31,8 @@
 
   void signal(int Number) const;
 
+  int getPid() const { return Pid_; }
+
   /// Waits for the end.
   /// \return Exit status, or minus the signal that ended it.
   int wait();
--- a/test/process/cluster.cpp
+++ b/test/process/cluster.cpp
@@ -52,8 +52,9 @@
 }
 
 Cluster::Cluster(const std::vector<std::string> &Zones, unsigned Servers,
-                 const standin::BackendProfile &Profile)
-    : Platform_(std::make_unique<standin::Platform>("127.0.0.1:0")) {
+                 const standin::BackendProfile &Profile, Duration Period)
+    : Period_(Period),
+      Platform_(std::make_unique<standin::Platform>("127.0.0.1:0")) {
   std::set<std::string> Distinct(Zones.begin(), Zones.end());
   for (const std::string &Zone : Distinct)
     for (unsigned I = 0; I < Servers; ++I)
@@ -88,8 +89,8 @@
                 {"peer", "127.0.0.1:0"},
                 {"peerAdvertise", Vm.PeerLink_->getAddress()},
                 {"platform", Vm.PlatformLink_->getAddress()},
-                {"heartbeatMs", 100},
-                {"healthMs", 100},
+                {"heartbeatMs", toMilliseconds(Period_)},
+                {"healthMs", toMilliseconds(Period_)},
                 {"lookupTtlMs", 500}};
   ScratchFile File(Settings.dump());
   const char *Log = std::getenv("CRANBERRY_TEST_LOG");
--- a/test/process/cluster_base.h
+++ b/test/process/cluster_base.h
@@ -33,8 +33,10 @@
 public:
   /// \param Zones Zone of each entry VM, as "region-zone".
   /// \param Servers Backend servers in each distinct zone.
+  /// \param Period Between heartbeats, and between health probes.
   Cluster(const std::vector<std::string> &Zones, unsigned Servers,
-          const standin::BackendProfile &Profile);
+          const standin::BackendProfile &Profile,
+          Duration Period = milliseconds(100));
   ~Cluster();
 
   /// Starts entry VM \p Index again, as a new process.
@@ -77,6 +79,7 @@
   void writeObjects();
   void announceVms();
 
+  Duration Period_;                             ///< Between heartbeats.
   std::unique_ptr<standin::Platform> Platform_; ///< Platform.
   std::map<std::string, std::vector<std::unique_ptr<standin::Backend>>>
       Servers_;                              ///< By zone.
