Fix: [Daemon] A planned stop with requests left exits 3 in place of aborting

Red before: exit -6 where 3 was expected. Now the process ends without taking the ports down under requests.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace {
@@ -49,7 +50,11 @@
   sigwait(&Signals, &Signal);
   bool IsClean = Process.drain();
   google::FlushLogFiles(google::INFO);
-  return IsClean ? 0 : ExitDirtyDrain;
+  // Requests that are still open hold on to the ports and threads, which can't
+  // be taken down under them.
+  if (!IsClean)
+    std::_Exit(ExitDirtyDrain);
+  return 0;
 }
 
 } // namespace
--- a/test/process/cluster.cpp
+++ b/test/process/cluster.cpp
@@ -91,7 +91,8 @@
                 {"platform", Vm.PlatformLink_->getAddress()},
                 {"heartbeatMs", toMilliseconds(Period_)},
                 {"healthMs", toMilliseconds(Period_)},
-                {"lookupTtlMs", 500}};
+                {"lookupTtlMs", 500},
+                {"drainLimitMs", 4000}};
   ScratchFile File(Settings.dump());
   const char *Log = std::getenv("CRANBERRY_TEST_LOG");
   Vm.Process_ = std::make_unique<standin::ChildProcess>(
--- a/test/process/shift_test.cpp
+++ b/test/process/shift_test.cpp
@@ -116,6 +116,20 @@
   CHECK(Errors.empty());
 }
 
+TEST_CASE("a planned stop that can't end its requests says so and does not "
+          "crash") {
+  Cluster World({"r-a"}, 1, makeProfile());
+  ServerFaults Faults;
+  Faults.LoseAnswers_ = 1;
+  World.server("r-a", 0).setFaults(Faults);
+  std::string Key = World.makeKey(0);
+  auto Stuck = World.callLater(0, "POST", Key, seconds(20));
+  REQUIRE(waitUntil([&] { return World.getRuns(Key) == 1; }, seconds(5)));
+  World.vm(0).Process_->signal(SIGTERM);
+  CHECK(World.vm(0).Process_->wait() == 3);
+  CHECK(Stuck().Code_ == ResultCode::ServerAnswerLost);
+}
+
 TEST_CASE("an entry VM is killed under load: its zone's servers are used on, "
           "and no key runs twice") {
   Cluster World({"r-a", "r-b"}, 2, makeProfile());
