--- a/src/daemon/call_type.h
+++ b/src/daemon/call_type.h
@@ -37,6 +37,12 @@
   CallOrigin Origin_ = CallOrigin::Caller; ///< How it came.
   uint64_t Grant_ = 0;                     ///< Grant, if under one.
   std::string SenderRegion_;               ///< Peer's region, if from a peer.
+
+  /// \return Bytes that passing it on takes of a link, roughly.
+  size_t getLinkBytes() const {
+    constexpr size_t Overhead = 512; ///< Headers and framing.
+    return Body_.size() + Path_.size() + Overhead;
+  }
 };
 
 /// How a request ended.
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -23,13 +23,6 @@
 constexpr double MaxLongShare = 0.3;   ///< Of slots, for long work.
 constexpr Duration MinSilence = seconds(2);
 constexpr Duration MinHedgeDelay = milliseconds(2);
-constexpr Duration GrantTtlNear = milliseconds(100);
-constexpr Duration GrantTtlFar = seconds(1);
-constexpr Duration AskWaitNear = milliseconds(250);
-constexpr Duration AskWaitFar = milliseconds(500);
-constexpr Duration AskTimeoutMargin = seconds(1);
-constexpr Duration AskPause = milliseconds(20);
-constexpr unsigned MaxAskSlots = 64;
 
 } // namespace
 
@@ -223,89 +216,6 @@
   return Attempt;
 }
 
-void Dispatcher::askPeers(Time Now) {
-  for (const PeerSpec &Peer : Peers_) {
-    bool IsFar = Peer.Tier_ == PeerTier::OtherRegion;
-    if (IsFar && Now < getFarAskTime(Peer))
-      continue;
-    if (auto Out = AsksOut_.find(Peer.Vm_); Out != AsksOut_.end()) {
-      if (Now < Out->second)
-        continue;
-      AsksOut_.erase(Out);
-    }
-    if (auto After = AskAfter_.find(Peer.Vm_);
-        After != AskAfter_.end() && Now < After->second)
-      continue;
-    unsigned &Ramp = Ramps_[Peer.Vm_];
-    Ramp = std::clamp(Ramp, 1U, MaxAskSlots);
-    auto Waiting = static_cast<unsigned>(Queue_.getSize());
-    Duration Wait = IsFar ? AskWaitFar : AskWaitNear;
-    AsksOut_[Peer.Vm_] = Now + Wait + 2 * Peer.Latency_ + AskTimeoutMargin;
-    Actions_.push_back(
-        AskPeer{Peer.Vm_, std::min(Waiting, IsFar ? Ramp : MaxAskSlots), Wait});
-  }
-}
-
-Time Dispatcher::getFarAskTime(const PeerSpec &Peer) const {
-  bool HasNear =
-      Pool_.hasLiveServer() || Peers_.front().Tier_ != PeerTier::OtherRegion;
-  const Request &Next = Requests_.at(Queue_.getNext());
-  return HasNear ? Next.Traits_.Arrived_ + 2 * Peer.Latency_
-                 : Next.Traits_.Arrived_;
-}
-
-void Dispatcher::receiveAnswer(const SlotAnswer &Answer, Time Now) {
-  AsksOut_.erase(Answer.Vm_);
-  if (Answer.Slots_ == 0) {
-    Ramps_[Answer.Vm_] = 1;
-    AskAfter_[Answer.Vm_] = Now + AskPause;
-  } else {
-    Ramps_[Answer.Vm_] = std::min(MaxAskSlots, 2 * Ramps_[Answer.Vm_]);
-    Wallet_.add({Answer.Vm_, Answer.Grant_, Answer.Incarnation_, Answer.Slots_,
-                 Now + Answer.Ttl_});
-  }
-  pump(Now);
-}
-
-void Dispatcher::addAsk(SlotAsk Ask, Time Now) {
-  Asks_.push_back(Ask);
-  pump(Now);
-}
-
-unsigned Dispatcher::getGrantable(const SlotAsk &Ask, Time Now) {
-  unsigned Free = getFreeOwn(Now);
-  if (!Ask.OtherRegion_)
-    return std::min(Free, Ask.Wanted_);
-  unsigned Slots = std::min(Pool_.getUsableSlots(Now), Limits_.MaxConcurrent_);
-  auto Kept = static_cast<unsigned>(std::ceil(Limits_.Headroom_ * Slots));
-  return std::min(Free > Kept ? Free - Kept : 0, Ask.Wanted_);
-}
-
-void Dispatcher::answerAsks(Time Now) {
-  std::deque<SlotAsk> Open;
-  Open.swap(Asks_);
-  for (const SlotAsk &Ask : Open) {
-    unsigned Slots = getGrantable(Ask, Now);
-    if (Slots == 0 && Now < Ask.WaitUntil_)
-      Asks_.push_back(Ask);
-    else
-      answerAsk(Ask, Slots, Now);
-  }
-}
-
-void Dispatcher::answerAsk(const SlotAsk &Ask, unsigned Slots, Time Now) {
-  Duration Ttl = Ask.OtherRegion_ ? GrantTtlFar : GrantTtlNear;
-  GrantIndex Grant;
-  if (Slots > 0)
-    Grant = Ledger_.add(Slots, Ttl, Now);
-  Actions_.push_back(AnswerAsk{Ask.Ask_, Grant, Slots, Ttl});
-}
-
-void Dispatcher::releaseGrant(GrantIndex Grant, Time Now) {
-  Ledger_.release(Grant);
-  pump(Now);
-}
-
 Time Dispatcher::getSilentTime(const Attempt &A) const {
   const Request &R = Requests_.at(A.Request_);
   Duration Longest = History_.getLongest(R.Traits_.Route_);
@@ -354,7 +264,7 @@
         Code == ResultCode::PeerAnswerLost)
       Wallet_.dropVm(A.Vm_);
     if (Code != ResultCode::Ok)
-      AskAfter_[A.Vm_] = Now + AskPause;
+      pauseAsking(A.Vm_, Now);
     return;
   }
   Pool_.finish(A.Server_);
@@ -540,15 +450,8 @@
   handleDue(Now);
   Wallet_.collect(Now, false);
   pump(Now);
-  if (!Queue_.isEmpty()) {
-    std::deque<SlotAsk> Open;
-    Open.swap(Asks_);
-    for (const SlotAsk &Ask : Open)
-      if (Now < Ask.WaitUntil_)
-        Asks_.push_back(Ask);
-      else
-        answerAsk(Ask, 0, Now);
-  }
+  if (!Queue_.isEmpty())
+    expireAsks(Now);
 }
 
 Actions Dispatcher::takeActions() {
--- a/src/request/dispatcher_base.h
+++ b/src/request/dispatcher_base.h
@@ -171,6 +171,8 @@
   AttemptIndex addAttempt(RequestIndex Index, Time Now);
   void askPeers(Time Now);
   void answerAsks(Time Now);
+  void expireAsks(Time Now);
+  void pauseAsking(const std::string &Vm, Time Now);
   void answerAsk(const SlotAsk &Ask, unsigned Slots, Time Now);
   unsigned getGrantable(const SlotAsk &Ask, Time Now);
   bool payForAttempt(Request &R);
