--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/ascii.h>
 #include <arpa/inet.h>
 #include <microhttpd.h>
+#include <sys/socket.h>
 
 #include <unistd.h>
 
@@ -27,6 +28,12 @@
   return MHD_YES;
 }
 
+/// \return Whether the other end has closed its side.
+bool isClosed(int Socket) {
+  char Byte = 0;
+  return recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 } // namespace
 
 /// What lives for one request on one connection.
@@ -40,6 +47,9 @@
   void handle() {
     Handled_ = true;
     ++Server_->OpenRequests_;
+    const MHD_ConnectionInfo *Info =
+        MHD_get_connection_info(Connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
+    Request_.IsGone_ = [Socket = Info->connect_fd] { return isClosed(Socket); };
     MHD_suspend_connection(Connection_);
     Server_->Handler_(std::move(Request_), [this](HttpResponse Response) {
       Response_ = std::move(Response);
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -26,6 +26,9 @@
   std::map<std::string, std::string> Headers_; ///< By lower-case name.
   std::string Body_;                           ///< Whole body.
   bool IsTooLarge_ = false;                    ///< Body was over the limit.
+  /// Tells whether the other end has closed the connection; only while the
+  /// request is not answered.
+  std::function<bool()> IsGone_;
 
   /// \return Value of the header \p Name in lower case, or "".
   const std::string &getHeader(const std::string &Name) const;
--- a/standin/backend.cpp
+++ b/standin/backend.cpp
@@ -3,6 +3,7 @@
 
 #include "standin/ask_loop_func.h"
 
+#include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr Duration LoadReportLag = seconds(1);
+constexpr Duration CancelCheck = milliseconds(20);
 
 HttpResponse makeRefusal(bool IsDraining) {
   HttpResponse Response;
@@ -77,6 +79,10 @@
   return askLoop(Loop_, [this] { return MaxAtOnce_; });
 }
 
+unsigned Backend::getCancelled() {
+  return askLoop(Loop_, [this] { return Cancelled_; });
+}
+
 unsigned Backend::getShed() {
   return askLoop(Loop_, [this] { return Shed_; });
 }
@@ -96,7 +102,7 @@
     ++Shed_;
     return Respond(makeRefusal(IsDraining));
   }
-  run(Request, std::move(Respond));
+  run(Request, Respond);
 }
 
 HttpResponse Backend::handleHealth() {
@@ -141,7 +147,7 @@
   return Duration(std::max<int64_t>(Micros, 1));
 }
 
-void Backend::run(const HttpRequest &Request, HttpRespond Respond) {
+void Backend::run(const HttpRequest &Request, const HttpRespond &Respond) {
   ++Running_;
   MaxAtOnce_ = std::max(MaxAtOnce_, Running_);
   Duration Length = drawServiceTime(Request);
@@ -149,9 +155,28 @@
   if (const std::string &Key = Request.getHeader("idempotency-key");
       !Key.empty())
     ++RunsByKey_[Key];
-  Loop_.addTimer(EventLoop::now() + Length,
-                 [this, Request, Respond = std::move(Respond)] {
-                   finish(Request, Respond);
+  Time Now = EventLoop::now();
+  Time Deadline = Time::max();
+  if (int64_t Ms = 0; absl::SimpleAtoi(Request.getHeader("x-deadline-ms"), &Ms))
+    Deadline = Now + milliseconds(Ms);
+  step(Request, Respond, Now + Length, Deadline);
+}
+
+void Backend::step(const HttpRequest &Request, const HttpRespond &Respond,
+                   Time End, Time Deadline) {
+  Time Now = EventLoop::now();
+  if (Now >= End)
+    return finish(Request, Respond);
+  // A payment under way is not stopped halfway.
+  bool MayStop = Request.getHeader("idempotency-key").empty();
+  if (MayStop && (Now >= Deadline || Request.IsGone_())) {
+    --Running_;
+    ++Cancelled_;
+    return Respond({504, {}, ""});
+  }
+  Loop_.addTimer(std::min(End, Now + CancelCheck),
+                 [this, Request, Respond, End, Deadline] {
+                   step(Request, Respond, End, Deadline);
                  });
 }
 
--- a/standin/backend_base.h
+++ b/standin/backend_base.h
@@ -27,8 +27,9 @@
 };
 
 /// One backend server: slots, shedding, drain, faults, and a record of every
-/// run by key. Answers repeat the request's body or query, so that a caller
-/// can tell its own answer.
+/// run by key. A run ends early when its requester closes the connection or at
+/// the deadline that it was sent. Answers repeat the request's body or query,
+/// so that a caller can tell its own answer.
 ///
 ///   GET /health                {"draining":...,"load":...}; the load lags
 ///   PUT /control               faults
@@ -47,13 +48,16 @@
   unsigned getRuns();
   unsigned getMaxAtOnce();
   unsigned getShed();
+  unsigned getCancelled();
   /// @}
 
 private:
   void handle(const HttpRequest &Request, HttpRespond Respond);
   HttpResponse handleHealth();
   HttpResponse handleControl(const HttpRequest &Request);
-  void run(const HttpRequest &Request, HttpRespond Respond);
+  void run(const HttpRequest &Request, const HttpRespond &Respond);
+  void step(const HttpRequest &Request, const HttpRespond &Respond, Time End,
+            Time Deadline);
   void finish(const HttpRequest &Request, const HttpRespond &Respond);
   Duration drawServiceTime(const HttpRequest &Request);
 
@@ -68,6 +72,7 @@
   unsigned MaxAtOnce_ = 0;                    ///< Most of them so far.
   unsigned Runs_ = 0;                         ///< Requests run.
   unsigned Shed_ = 0;                         ///< Requests refused.
+  unsigned Cancelled_ = 0;             ///< Runs that their requester gave up.
   unsigned ReportedLoad_ = 0;          ///< Load as health reports it, late.
   std::thread Thread_;                 ///< Runs the loop.
   std::unique_ptr<HttpServer> Server_; ///< Port.
--- a/test/process/at_most_once_test.cpp
+++ b/test/process/at_most_once_test.cpp
@@ -155,3 +155,20 @@
   CHECK(World.getRuns(Key) == 1);
   CHECK(World.server("r-b", 0).getRunsByKey().size() == 1);
 }
+
+TEST_CASE("the loser of a hedge is cancelled at its server") {
+  BackendProfile Profile;
+  Profile.Slots_ = 4;
+  Profile.Mean_ = milliseconds(5);
+  Profile.StragglerShare_ = 0;
+  Cluster World({"r-a"}, 2, Profile);
+  for (int I = 0; I < 60; ++I)
+    REQUIRE(getOutcome(World.call(0, "GET", "")) == "answered");
+  ServerFaults Slow;
+  Slow.SlowFactor_ = 100000;
+  World.server("r-a", 0).setFaults(Slow);
+  for (int I = 0; I < 6; ++I)
+    CHECK(getOutcome(World.call(0, "GET", "", seconds(60))) == "answered");
+  CHECK(waitUntil([&] { return World.server("r-a", 0).getCancelled() > 0; },
+                  seconds(5)));
+}
