Fix: [Request] Use idle servers in turn; compare only servers that have timings

Cause: at low load ties went to the first server, so that the others had no timings; against those a random streak made the first one slow, and since a slow server is picked last it never recovered. Seen in two of four runs of 'the loser of a hedge is cancelled' (8 of 8 requests to one server, red).

--- a/src/request/server_pool.cpp
+++ b/src/request/server_pool.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 
 namespace cranberry {
 
@@ -12,6 +13,7 @@
 constexpr Duration FirstRest = milliseconds(50);
 constexpr unsigned MaxRestDoublings = 6;
 constexpr double LateRatio = 2.0;     ///< Late when over this many estimates.
+constexpr unsigned MinSamples = 20;   ///< Before a server can be compared.
 constexpr double SampleWeight = 0.05; ///< Of the newest attempt.
 constexpr double SlowExcess = 0.35; ///< Late share over the peers' that starts
                                     ///< being slow.
@@ -75,7 +77,8 @@
 std::optional<ServerIndex> ServerPool::pick(Time Now, ServerIndex Avoid) const {
   std::optional<size_t> Best;
   auto Score = [&](const Server &S) {
-    return std::pair(S.IsSlow_, static_cast<double>(S.InUse_) / S.Slots_);
+    return std::tuple(S.IsSlow_, static_cast<double>(S.InUse_) / S.Slots_,
+                      S.LastStart_);
   };
   for (size_t I = 0; I < Servers_.size(); ++I) {
     const Server &S = Servers_[I];
@@ -91,6 +94,7 @@
 
 void ServerPool::start(ServerIndex Server) {
   ++Servers_[Server.get()].InUse_;
+  Servers_[Server.get()].LastStart_ = ++Starts_;
   ++InUse_;
 }
 
@@ -103,7 +107,7 @@
 double ServerPool::getMedianLateShare() const {
   std::vector<double> Values;
   for (const Server &S : Servers_)
-    if (isEligible(S))
+    if (isEligible(S) && S.Samples_ >= MinSamples)
       Values.push_back(S.LateShare_);
   if (Values.empty())
     return 0.0;
@@ -122,7 +126,8 @@
   double Sample = Ran > Expected * LateRatio ? 1.0 : 0.0;
   S.LateShare_ += SampleWeight * (Sample - S.LateShare_);
   double Excess = S.LateShare_ - getMedianLateShare();
-  S.IsSlow_ = Excess > (S.IsSlow_ ? RecoveredExcess : SlowExcess);
+  bool CanTell = ++S.Samples_ >= MinSamples;
+  S.IsSlow_ = CanTell && Excess > (S.IsSlow_ ? RecoveredExcess : SlowExcess);
 }
 
 void ServerPool::recordRefusal(ServerIndex Server, Time Now) {
--- a/src/request/server_pool_base.h
+++ b/src/request/server_pool_base.h
@@ -55,8 +55,8 @@
   /// Notes the answer of a health endpoint.
   void setHealth(const std::string &Address, ServerHealth Health, Time Now);
 
-  /// Picks a server with a free slot: the fastest by its recent timing, then
-  /// the least used.
+  /// Picks a server with a free slot: one that is not slow, then the least
+  /// used, then the one that was started longest ago, so that all stay in use.
   /// \param Avoid Server that must not be picked; may be invalid.
   std::optional<ServerIndex> pick(Time Now, ServerIndex Avoid) const;
 
@@ -113,6 +113,8 @@
     unsigned Refusals_ = 0;                  ///< In a row.
     double LateShare_ = 0.0; ///< Smoothed share of attempts that ran late.
     bool IsSlow_ = false;    ///< Slower than its peers.
+    unsigned Samples_ = 0;   ///< Timings so far.
+    uint64_t LastStart_ = 0; ///< Order of its newest start; 0 for none.
   };
 
   bool isEligible(const Server &S) const;
@@ -121,6 +123,7 @@
 
   std::vector<Server> Servers_; ///< Indices stay valid for a pool's life.
   unsigned InUse_ = 0;          ///< Sum over all servers.
+  uint64_t Starts_ = 0;         ///< Starts at all servers.
 };
 
 } // namespace cranberry
--- a/test/unit/placing_test.cpp
+++ b/test/unit/placing_test.cpp
@@ -34,6 +34,23 @@
   CHECK_FALSE(Pool.isSlow(ServerIndex(0)));
 }
 
+TEST_CASE(
+    "idle servers are used in turn, and one without peers to compare is not "
+    "slow") {
+  ServerPool Pool;
+  Pool.setServers({{"a", 4, false}, {"b", 4, false}}, Start);
+  for (unsigned I = 0; I < 6; ++I) {
+    std::optional<ServerIndex> Picked = Pool.pick(Start, {});
+    REQUIRE(Picked);
+    CHECK(Picked->get() == I % 2);
+    Pool.start(*Picked);
+    Pool.finish(*Picked);
+  }
+  for (int I = 0; I < 50; ++I)
+    Pool.recordTiming(ServerIndex(0), seconds(1), milliseconds(10));
+  CHECK_FALSE(Pool.isSlow(ServerIndex(0)));
+}
+
 TEST_CASE("one straggler does not make a server slow") {
   ServerPool Pool;
   Pool.setServers({{"a", 4, false}, {"b", 4, false}}, Start);
