--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,6 +2,7 @@
 #include "core/result_func.h"
 #include "daemon/daemon_base.h"
 #include "daemon/settings_func.h"
+#include "steering/steering_vm_base.h"
 
 #include <boost/program_options.hpp>
 #include <glog/logging.h>
@@ -15,6 +16,8 @@
 
 constexpr const char *Version = "0.1.0";
 constexpr int ExitSettings = 2;
+/// Names the settings file if the command line does not.
+constexpr const char *SettingsVariable = "CRANBERRYPOST_CONFIG";
 constexpr int ExitDirtyDrain = 3;
 
 int fail(const cranberry::Reason &Why) {
@@ -31,6 +34,18 @@
           .count());
 }
 
+/// Serves the routes that the store holds.
+int steer(const cranberry::Settings &Settings) {
+  signal(SIGPIPE, SIG_IGN);
+  cranberry::SteeringVm Process(Settings, makeIncarnation());
+  cranberry::Reason Why;
+  if (!Process.start(Why))
+    return fail(Why);
+  Process.run();
+  return 0;
+}
+
+/// Serves the project's own interface.
 int serve(const cranberry::Settings &Settings) {
   sigset_t Signals;
   sigemptyset(&Signals);
@@ -83,18 +98,24 @@
     std::cout << "cranberryd " << Version << "\n";
     return 0;
   }
-  if (!Given.count("settings"))
+  const char *FromEnvironment = std::getenv(SettingsVariable);
+  if (!Given.count("settings") && !FromEnvironment)
     return fail({cranberry::ResultCode::FlagInvalid, "--settings",
                  "a settings file is needed"});
   cranberry::Reason Why;
   std::optional<cranberry::Settings> Settings =
-      cranberry::readSettings(Given["settings"].as<std::string>(), Why);
+      cranberry::readSettings(Given.count("settings")
+                                  ? Given["settings"].as<std::string>()
+                                  : FromEnvironment,
+                              Why);
   if (!Settings)
     return fail(Why);
   if (Given.count("check")) {
     std::cout << "settings are valid\n";
     return 0;
   }
+  if (!Settings->Directory_.empty())
+    return steer(*Settings);
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(Argv[0]);
   return serve(*Settings);
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,6 +1,7 @@
 /// \file settings.cpp Reading and checking the settings file.
 #include "daemon/settings_func.h"
 
+#include "core/duration_func.h"
 #include "core/overload_type.h"
 #include "daemon/table/settings_table.h"
 #include "version/client_block_func.h"
@@ -74,6 +75,35 @@
     return true;
   }
 
+  bool setField(std::map<std::string, std::string> Settings::*Field) {
+    if (!Value_.is_object())
+      return fail(ResultCode::SettingsWrongType, "must be a table of strings");
+    for (const auto &[Name, Entry] : Value_.items()) {
+      if (!Entry.is_string())
+        return fail(ResultCode::SettingsWrongType,
+                    "must be a table of strings");
+      (Target_.*Field)[Name] = Entry;
+    }
+    return true;
+  }
+
+  bool setField(double Settings::*Field) {
+    if (!Value_.is_number())
+      return fail(ResultCode::SettingsWrongType, "must be a number");
+    auto Number = Value_.get<double>();
+    if (Number < static_cast<double>(Row_.Minimum_) ||
+        Number > static_cast<double>(Row_.Maximum_))
+      return failRange();
+    Target_.*Field = Number;
+    return true;
+  }
+
+  bool failRange() {
+    return fail(ResultCode::SettingsOutOfRange,
+                "must be from " + std::to_string(Row_.Minimum_) + " to " +
+                    std::to_string(Row_.Maximum_));
+  }
+
   std::optional<int64_t> readNumber() {
     if (!Value_.is_number_integer()) {
       fail(ResultCode::SettingsWrongType, "must be a whole number");
@@ -82,9 +112,7 @@
     auto Number = Value_.get<int64_t>();
     if (Number >= Row_.Minimum_ && Number <= Row_.Maximum_)
       return Number;
-    fail(ResultCode::SettingsOutOfRange,
-         "must be from " + std::to_string(Row_.Minimum_) + " to " +
-             std::to_string(Row_.Maximum_));
+    failRange();
     return std::nullopt;
   }
 
@@ -95,7 +123,18 @@
     return Number.has_value();
   }
 
+  /// A whole number of milliseconds, or text such as "1500ms" or "2.5s".
   bool setField(Duration Settings::*Field) {
+    if (Value_.is_string()) {
+      std::optional<Duration> Value = parseDuration(Value_);
+      if (!Value)
+        return fail(ResultCode::SettingsWrongType, "must be a duration");
+      int64_t Count = toMilliseconds(*Value);
+      if (Count < Row_.Minimum_ || Count > Row_.Maximum_)
+        return failRange();
+      Target_.*Field = *Value;
+      return true;
+    }
     std::optional<int64_t> Number = readNumber();
     if (Number)
       Target_.*Field = milliseconds(*Number);
@@ -118,9 +157,15 @@
 } // namespace
 
 std::optional<Settings> parseSettings(const std::string &Text, Reason &Why) {
-  json Root = json::parse(Text, nullptr, false);
-  if (Root.is_discarded() || !Root.is_object()) {
-    Why = {ResultCode::SettingsNotJson, "", ""};
+  json Root;
+  try {
+    Root = json::parse(Text);
+  } catch (const json::parse_error &Error) {
+    Why = {ResultCode::SettingsNotJson, "", Error.what()};
+    return std::nullopt;
+  }
+  if (!Root.is_object()) {
+    Why = {ResultCode::SettingsNotJson, "", "not an object"};
     return std::nullopt;
   }
   Settings Result;
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -4,6 +4,7 @@
 
 #include "core/time_type.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,16 @@
   Duration DrainLimit_ = seconds(60); ///< Longest planned stop.
   unsigned MaxKeys_ = 200000;         ///< Most idempotency keys remembered.
   unsigned MaxAnswerMb_ = 32;         ///< Most MiB of answers remembered.
+  std::string Readiness_; ///< Listens here for readiness checks.
+  std::string Directory_; ///< Listens here for look-ups. Chooses steering of
+                          ///< the store's routes, see SteeringVm.
+  std::map<std::string, std::string> Zones_; ///< Region of each zone.
+  Duration StopGrace_ = seconds(6); ///< From SIGTERM until the process is
+                                    ///< killed.
+  double RepeatRatio_ = 0.1;        ///< Repeats for each request.
+  double RepeatSlack_ = 0;          ///< Repeats beside the ratio, of all VMs.
+  Duration RepeatWindow_ = seconds(10); ///< Window of both.
+  double ColdBurstFactor_ = 1; ///< Times the rate that a cold server bears.
 };
 
 } // namespace cranberry
--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -12,7 +12,9 @@
 /// Where a key's value goes; the alternative tells the JSON type.
 using SettingsField =
     std::variant<std::string Settings::*, std::vector<std::string> Settings::*,
-                 unsigned Settings::*, Duration Settings::*>;
+                 std::map<std::string, std::string> Settings::*,
+                 unsigned Settings::*, double Settings::*,
+                 Duration Settings::*>;
 
 /// One settings key.
 struct SettingsRow {
@@ -46,6 +48,14 @@
     {"drainLimitMs", &Settings::DrainLimit_, false, false, 100, 3600000},
     {"maxKeys", &Settings::MaxKeys_, false, false, 1, 10000000},
     {"maxAnswerMb", &Settings::MaxAnswerMb_, false, false, 1, 4096},
+    {"readiness", &Settings::Readiness_, false, true, 0, 0},
+    {"directory", &Settings::Directory_, false, true, 0, 0},
+    {"zones", &Settings::Zones_, false, false, 0, 0},
+    {"stopGraceMs", &Settings::StopGrace_, false, false, 500, 600000},
+    {"repeatRatio", &Settings::RepeatRatio_, false, false, 0, 10},
+    {"repeatSlack", &Settings::RepeatSlack_, false, false, 0, 1000000},
+    {"repeatWindowMs", &Settings::RepeatWindow_, false, false, 100, 600000},
+    {"coldBurstFactor", &Settings::ColdBurstFactor_, false, false, 0, 100},
 };
 // clang-format on
 
--- /dev/null
+++ b/src/net/connection_pool.cpp
@@ -0,0 +1,87 @@
+/// \file connection_pool.cpp Connections to HTTP servers, kept for reuse.
+#include "net/connection_pool_base.h"
+
+#include "net/ingress_server_base.h"
+
+#include <algorithm>
+
+namespace cranberry {
+
+namespace {
+
+bool isUsable(const ServerConnectionPtr &Connection, Time Now,
+              Duration MaxIdle) {
+  return Connection->isReusable() && Now < Connection->getIdleLimit() &&
+         Now - Connection->getIdleSince() <= MaxIdle;
+}
+
+} // namespace
+
+ServerConnectionPtr ConnectionPool::takeIdle(const std::string &Key,
+                                             Duration MaxIdle) {
+  auto Found = Idle_.find(Key);
+  if (Found == Idle_.end())
+    return nullptr;
+  std::vector<ServerConnectionPtr> &Idle = Found->second;
+  Time Now = getNow();
+  while (!Idle.empty()) {
+    if (isUsable(Idle.back(), Now, MaxIdle)) {
+      ServerConnectionPtr Newest = std::move(Idle.back());
+      Idle.pop_back();
+      return Newest;
+    }
+    if (Idle.back()->isReusable())
+      return nullptr; // All others are older.
+    Idle.pop_back();
+  }
+  return nullptr;
+}
+
+AttemptHandle
+ConnectionPool::send(const std::string &Key,
+                     const boost::asio::ip::tcp::endpoint &Server,
+                     AttemptSpec Spec, AttemptHandler End) {
+  ServerConnectionPtr Connection = takeIdle(Key, Spec.MaxIdle_);
+  bool IsNew = !Connection;
+  if (IsNew) {
+    ++Opened_;
+    Connection = std::make_shared<ServerConnection>(Loop_);
+  }
+  std::weak_ptr<ServerConnection> Weak = Connection;
+  AttemptHandler Keep = [this, Key, Weak,
+                         End = std::move(End)](AttemptResult Result) {
+    ServerConnectionPtr Used = Weak.lock();
+    if (Used && Used->isReusable())
+      Idle_[Key].push_back(Used);
+    End(std::move(Result));
+  };
+  if (IsNew)
+    Connection->open(Server, std::move(Spec), std::move(Keep));
+  else
+    Connection->send(std::move(Spec), std::move(Keep));
+  return AttemptHandle(Connection);
+}
+
+void ConnectionPool::drop(const std::string &Key) {
+  auto Found = Idle_.find(Key);
+  if (Found == Idle_.end())
+    return;
+  for (const ServerConnectionPtr &Connection : Found->second)
+    Connection->close();
+  Idle_.erase(Found);
+}
+
+void ConnectionPool::sweep(Time Now) {
+  for (auto &[Key, Idle] : Idle_) {
+    auto IsOld = [Now](const ServerConnectionPtr &Connection) {
+      bool Old = !isUsable(Connection, Now, Duration::max());
+      if (Old)
+        Connection->close();
+      return Old;
+    };
+    Idle.erase(std::remove_if(Idle.begin(), Idle.end(), IsOld), Idle.end());
+  }
+  absl::erase_if(Idle_, [](const auto &Entry) { return Entry.second.empty(); });
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/net/ingress_server.cpp
@@ -0,0 +1,125 @@
+/// \file ingress_server.cpp Serves HTTP/1.1 with pipelining on one thread.
+#include "net/ingress_server_base.h"
+
+#include "net/ingress_connection_base.h"
+
+#include <charconv>
+#include <vector>
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace cranberry {
+
+namespace {
+
+/// How often connections are checked against their time limits; an eighth of
+/// the shortest of these.
+constexpr Duration SweepPeriod = milliseconds(400);
+
+/// Pause after accept() fails, mostly because descriptors have run out.
+constexpr Duration AcceptPause = milliseconds(50);
+
+/// Connections that may wait to be accepted. A full queue costs the client
+/// seconds, as its opening packet is dropped.
+constexpr int Backlog = 4096;
+
+} // namespace
+
+std::optional<tcp::endpoint> parseEndpoint(const std::string &Text) {
+  size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return std::nullopt;
+  error_code Error;
+  auto Address =
+      boost::asio::ip::make_address_v4(Text.substr(0, Colon), Error);
+  uint16_t Port = 0;
+  const char *Last = Text.data() + Text.size();
+  auto [End, Parsed] = std::from_chars(Text.data() + Colon + 1, Last, Port);
+  if (Error || Parsed != std::errc() || End != Last)
+    return std::nullopt;
+  return tcp::endpoint(Address, Port);
+}
+
+IngressServer::IngressServer(boost::asio::io_context &Loop,
+                             IngressHandler Handler)
+    : Loop_(Loop), Acceptor_(Loop), Sweep_(Loop), AcceptRetry_(Loop),
+      Handler_(std::move(Handler)) {}
+
+IngressServer::~IngressServer() {
+  auto Open = Connections_;
+  for (const auto &Connection : Open)
+    Connection->close();
+}
+
+bool IngressServer::open(const std::string &Address, Reason &Why) {
+  std::optional<tcp::endpoint> Endpoint = parseEndpoint(Address);
+  if (!Endpoint) {
+    Why = {ResultCode::PortUnavailable, Address, "not an address and a port"};
+    return false;
+  }
+  error_code Error;
+  Acceptor_.open(tcp::v4(), Error);
+  if (!Error)
+    Acceptor_.set_option(tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    Acceptor_.bind(*Endpoint, Error);
+  if (!Error)
+    Acceptor_.listen(Backlog, Error);
+  if (Error) {
+    Why = {ResultCode::PortUnavailable, Address, Error.message()};
+    return false;
+  }
+  tcp::endpoint Bound = Acceptor_.local_endpoint();
+  Address_ = Bound.address().to_string() + ":" + std::to_string(Bound.port());
+  accept();
+  sweep();
+  return true;
+}
+
+void IngressServer::accept() {
+  if (IsStopped_)
+    return;
+  Acceptor_.async_accept([this](error_code Error, tcp::socket Socket) {
+    if (IsStopped_ || Error == boost::asio::error::operation_aborted)
+      return;
+    if (Error) {
+      AcceptRetry_.expires_after(AcceptPause);
+      AcceptRetry_.async_wait([this](error_code Cancelled) {
+        if (!Cancelled)
+          accept();
+      });
+      return;
+    }
+    auto Connection =
+        std::make_shared<IngressConnection>(*this, std::move(Socket));
+    Connections_.insert(Connection);
+    Connection->start();
+    accept();
+  });
+}
+
+void IngressServer::sweep() {
+  Sweep_.expires_after(SweepPeriod);
+  Sweep_.async_wait([this](error_code Cancelled) {
+    if (Cancelled)
+      return;
+    Time Now = getNow();
+    std::vector<std::shared_ptr<IngressConnection>> Open(Connections_.begin(),
+                                                         Connections_.end());
+    for (const auto &Connection : Open)
+      Connection->checkTime(Now);
+    sweep();
+  });
+}
+
+void IngressServer::stopAccepting() {
+  IsStopped_ = true;
+  error_code Ignored; // A listening socket has nothing to lose.
+  Acceptor_.close(Ignored);
+  auto Open = Connections_;
+  for (const auto &Connection : Open)
+    Connection->closeIfIdle();
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/net/server_connection.cpp
@@ -0,0 +1,232 @@
+/// \file server_connection.cpp One connection to an HTTP server.
+#include "net/server_connection_base.h"
+
+#include "net/ingress_server_base.h"
+
+#include <absl/strings/numbers.h>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <utility>
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace cranberry {
+
+namespace {
+
+constexpr size_t ReadBytes = 8192; ///< Asked of one read.
+
+/// Largest response; the largest body that clients may send is as large.
+constexpr size_t MaxResponseBytes = 64U << 20;
+
+/// A connection whose bytes are not acknowledged for this long is dead. Twice
+/// the longest freeze that a route's timeout would outlast.
+constexpr unsigned UserTimeoutMs = 3000;
+
+/// Idle time assumed where the server tells none.
+constexpr Duration DefaultIdle = seconds(4);
+
+/// Share of the server's idle timeout for which a connection is reused; the
+/// rest keeps a request from crossing the server's close.
+constexpr double IdleShare = 0.6;
+
+/// Probes on a connection that carries nothing, which find out within 3 s that
+/// something between the two ends has lost track of it.
+void setKeepAlive(tcp::socket &Socket) {
+  constexpr int IdleSeconds = 1;
+  constexpr int IntervalSeconds = 1;
+  constexpr int Probes = 2;
+  using boost::asio::detail::socket_option::integer;
+  error_code Ignored; // Without them only the caller's time-out is left.
+  Socket.set_option(boost::asio::socket_base::keep_alive(true), Ignored);
+  Socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(IdleSeconds), Ignored);
+  Socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(IntervalSeconds),
+                    Ignored);
+  Socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(Probes), Ignored);
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(boost::asio::io_context &Loop)
+    : Socket_(Loop), ConnectTimer_(Loop) {}
+
+void ServerConnection::open(const tcp::endpoint &Server, AttemptSpec Spec,
+                            AttemptHandler End) {
+  Spec_ = std::move(Spec);
+  End_ = std::move(End);
+  auto Self = shared_from_this();
+  Opened_ = getNow();
+  ConnectTimer_.expires_after(Spec_.ConnectTimeout_);
+  ConnectTimer_.async_wait([Self](error_code Cancelled) {
+    if (!Cancelled && !Self->IsClosed_)
+      Self->finish(AttemptEnd::ConnectFailed);
+  });
+  Socket_.async_connect(Server, [Self](error_code Error) {
+    if (Self->IsClosed_)
+      return;
+    Self->ConnectTimer_.cancel();
+    if (Error) {
+      Self->finish(AttemptEnd::ConnectReset);
+      return;
+    }
+    Self->Connect_ = getNow() - Self->Opened_;
+    error_code Ignored; // These options only save time.
+    Self->Socket_.set_option(tcp::no_delay(true), Ignored);
+    Self->Socket_.set_option(
+        boost::asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                    TCP_USER_TIMEOUT>(
+            UserTimeoutMs),
+        Ignored);
+    setKeepAlive(Self->Socket_);
+    Self->startRequest();
+    Self->read();
+  });
+}
+
+void ServerConnection::send(AttemptSpec Spec, AttemptHandler End) {
+  Spec_ = std::move(Spec);
+  End_ = std::move(End);
+  startRequest();
+}
+
+void ServerConnection::startRequest() {
+  IsReusable_ = false;
+  IsWriting_ = true;
+  Parser_.reset();
+  boost::asio::async_write(
+      Socket_, boost::asio::buffer(Spec_.Bytes_),
+      [Self = shared_from_this()](error_code Error, size_t) {
+        Self->IsWriting_ = false;
+        // A failed write shows in the read as well, after what the server may
+        // have answered before.
+        if (Error)
+          Self->IsReusable_ = false;
+      });
+}
+
+void ServerConnection::read() {
+  Socket_.async_read_some(
+      Buffer_.prepare(ReadBytes),
+      [Self = shared_from_this()](error_code Error, size_t Count) {
+        if (Self->IsClosed_)
+          return;
+        Self->Buffer_.commit(Count);
+        Self->receive(Error);
+      });
+}
+
+void ServerConnection::receive(const error_code &Error) {
+  if (!End_) {
+    // Idle: a close, or bytes that belong to no request.
+    close();
+    return;
+  }
+  if (!Error) {
+    if (parse() && !IsClosed_)
+      read();
+    return;
+  }
+  // A response without a length ends with an orderly close only.
+  bool EndsWithClose = Error == boost::asio::error::eof && Parser_ &&
+                       Parser_->is_header_done() && Parser_->need_eof();
+  if (EndsWithClose) {
+    error_code Ended;
+    Parser_->put_eof(Ended);
+    if (!Ended) {
+      takeResponse();
+      return;
+    }
+  }
+  bool IsPartial = Parser_ && Parser_->got_some();
+  finish(IsPartial ? AttemptEnd::Garbled : AttemptEnd::Broken);
+}
+
+bool ServerConnection::parse() {
+  while (Buffer_.size() > 0 && End_) {
+    if (!Parser_) {
+      Parser_.emplace();
+      Parser_->eager(true);
+      Parser_->skip(Spec_.IsHead_);
+      Parser_->body_limit(MaxResponseBytes);
+    }
+    error_code Error;
+    size_t Used = Parser_->put(Buffer_.data(), Error);
+    Buffer_.consume(Used);
+    if (Error && Error != http::error::need_more) {
+      finish(AttemptEnd::Garbled);
+      return false;
+    }
+    if (Parser_->is_done()) {
+      takeResponse();
+      continue;
+    }
+    if (Used == 0 || Error == http::error::need_more)
+      break;
+  }
+  return true;
+}
+
+void ServerConnection::takeResponse() {
+  constexpr unsigned FirstFinal = 200;
+  bool KeepsAlive = Parser_->keep_alive();
+  ResponseMessage Response = Parser_->release();
+  Parser_.reset();
+  if (Response.result_int() < FirstFinal)
+    return;
+  ResponseMatch Match = Spec_.Matches_(Response);
+  if (Match == ResponseMatch::Foreign && KeepsAlive)
+    return;
+  if (Match != ResponseMatch::Ours) {
+    finish(AttemptEnd::Garbled);
+    return;
+  }
+  // Bytes behind the response, or a request that is still being sent, leave
+  // the connection in an unknown state.
+  IsReusable_ = KeepsAlive && Buffer_.size() == 0 && !IsWriting_;
+  noteIdleTimeout(Response);
+  finish(AttemptEnd::Answered, std::move(Response));
+}
+
+void ServerConnection::noteIdleTimeout(const ResponseMessage &Response) {
+  IdleSince_ = getNow();
+  Duration Idle = DefaultIdle;
+  for (const auto &Token :
+       http::param_list(";" + std::string(Response[http::field::keep_alive]))) {
+    int64_t Timeout = 0;
+    if (Token.first == "timeout" &&
+        absl::SimpleAtoi(std::string(Token.second), &Timeout))
+      Idle = std::chrono::duration_cast<Duration>(seconds(Timeout) * IdleShare);
+  }
+  IdleLimit_ = IdleSince_ + Idle;
+}
+
+void ServerConnection::finish(AttemptEnd End, ResponseMessage Response) {
+  AttemptHandler Handler = std::move(End_);
+  End_ = nullptr;
+  AttemptResult Result{End, std::move(Response), WasUsed_,
+                       std::exchange(Connect_, std::nullopt)};
+  WasUsed_ = true;
+  if (!IsReusable_)
+    close();
+  if (Handler)
+    Handler(std::move(Result));
+}
+
+void ServerConnection::close() {
+  if (IsClosed_)
+    return;
+  IsClosed_ = true;
+  IsReusable_ = false;
+  End_ = nullptr;
+  ConnectTimer_.cancel();
+  error_code Ignored; // Nothing is left to do on a socket that fails to close.
+  Socket_.close(Ignored);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/platform/decode.cpp
@@ -0,0 +1,384 @@
+/// \file decode.cpp The platform's messages as the project's types.
+#include "platform/decode_func.h"
+
+#include "core/duration_func.h"
+#include "platform/wire_names.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+using nlohmann::json;
+
+namespace cranberry::platform {
+
+namespace {
+
+std::string toString(boost::beast::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+/// Reads fields of one JSON object; remembers the first that is at fault.
+class FieldReader {
+public:
+  FieldReader(const json &Object, Reason &Why) : Object_(Object), Why_(Why) {
+    if (!Object.is_object())
+      fail("", "not an object");
+  }
+
+  std::string getString(const char *Name) {
+    const json *Value = find(Name);
+    if (Value && Value->is_string())
+      return Value->get<std::string>();
+    fail(Name, "not a string");
+    return {};
+  }
+
+  double getNumber(const char *Name) {
+    const json *Value = find(Name);
+    if (Value && Value->is_number())
+      return Value->get<double>();
+    fail(Name, "not a number");
+    return 0;
+  }
+
+  unsigned getCount(const char *Name) {
+    const json *Value = find(Name);
+    if (Value && Value->is_number_unsigned())
+      return Value->get<unsigned>();
+    fail(Name, "not a whole number from 0");
+    return 0;
+  }
+
+  bool getBool(const char *Name) {
+    const json *Value = find(Name);
+    if (Value && Value->is_boolean())
+      return Value->get<bool>();
+    fail(Name, "not true or false");
+    return false;
+  }
+
+  Duration getDuration(const char *Name) {
+    std::optional<Duration> Value = parseDuration(getString(Name));
+    if (!Value)
+      fail(Name, "not a duration");
+    return Value.value_or(Duration(0));
+  }
+
+  /// \return The list, or an empty one.
+  const json &getList(const char *Name) {
+    static const json Empty = json::array();
+    const json *Value = find(Name);
+    if (Value && Value->is_array())
+      return *Value;
+    fail(Name, "not a list");
+    return Empty;
+  }
+
+  bool has(const char *Name) const {
+    auto Found = Object_.is_object() ? Object_.find(Name) : Object_.end();
+    return Object_.is_object() && Found != Object_.end() && !Found->is_null();
+  }
+
+  void fail(const std::string &Name, const char *Text) {
+    if (IsGood_)
+      Why_ = {ResultCode::ObjectWrongType, Name, Text};
+    IsGood_ = false;
+  }
+
+  bool isGood() const { return IsGood_; }
+
+private:
+  const json *find(const char *Name) const {
+    if (!Object_.is_object())
+      return nullptr;
+    auto Found = Object_.find(Name);
+    return Found == Object_.end() ? nullptr : &*Found;
+  }
+
+  const json &Object_;  ///< Being read.
+  Reason &Why_;         ///< First fault.
+  bool IsGood_ = true;  ///< No fault so far.
+};
+
+/// Parses text in which single entries may hold bytes that are no text; these
+/// must not cost the others.
+json parseJson(std::string Text) {
+  constexpr unsigned char FirstPrintable = 0x20;
+  constexpr unsigned char LastAscii = 0x7e;
+  for (char &C : Text) {
+    auto Byte = static_cast<unsigned char>(C);
+    if (Byte < FirstPrintable && C != '\n' && C != '\r' && C != '\t')
+      C = ' ';
+    else if (Byte > LastAscii)
+      C = '?';
+  }
+  return json::parse(Text, nullptr, false);
+}
+
+std::optional<StoreObject> decodeObject(const json &Value, Reason &Why) {
+  FieldReader Fields(Value, Why);
+  if (!Fields.has("metadata")) {
+    Fields.fail("metadata", "missing");
+    return std::nullopt;
+  }
+  FieldReader Meta(Value["metadata"], Why);
+  StoreObject Result;
+  Result.Name_ = Meta.getString("name");
+  Result.Revision_ = static_cast<Revision>(Meta.getNumber("revision"));
+  if (auto Body = Value.find("specification"); Body != Value.end())
+    Result.Body_ = *Body;
+  if (!Meta.isGood())
+    return std::nullopt;
+  return Result;
+}
+
+std::optional<RouteConfig> decodeRoute(const json &Value, Reason &Why) {
+  FieldReader Fields(Value, Why);
+  RouteConfig Route;
+  Route.Name_ = Fields.getString("name");
+  Route.Host_ = absl::AsciiStrToLower(Fields.getString("host"));
+  Route.Prefix_ = Fields.getString("pathPrefix");
+  Route.IsIdempotent_ = Fields.getString("kind") == "safe";
+  Route.Timeout_ = Fields.getDuration("timeout");
+  Route.Objective_ = Fields.getDuration("targetLatency");
+  Route.Priority_ = Fields.getCount("priority");
+  // The number of servers, not of tries.
+  Route.MaxServers_ = Fields.getCount("attempts");
+  Route.HasAffinity_ =
+      Fields.has("stickySessions") && Fields.getBool("stickySessions");
+  if (Fields.has("homeRegions"))
+    for (const json &Region : Fields.getList("homeRegions"))
+      if (Region.is_string())
+        Route.HomeRegions_.push_back(Region);
+  if (Fields.has("trafficSplit")) {
+    for (const json &Part : Fields.getList("trafficSplit")) {
+      FieldReader PartFields(Part, Why);
+      Route.Parts_.push_back(
+          {PartFields.getString("service"), PartFields.getNumber("weight")});
+      if (!PartFields.isGood())
+        return std::nullopt;
+    }
+  } else {
+    Route.Parts_.push_back({Fields.getString("service"), 1});
+  }
+  if (!Fields.isGood() || Route.Parts_.empty())
+    return std::nullopt;
+  return Route;
+}
+
+std::optional<BackendServiceConfig> decodeService(const json &Value,
+                                                  Reason &Why) {
+  FieldReader Fields(Value, Why);
+  BackendServiceConfig Service;
+  Service.Name_ = Fields.getString("name");
+  Service.HealthPath_ = Fields.getString("healthPath");
+  Service.ConnectionLimit_ = Fields.getCount("connectionLimit");
+  Service.ColdDuration_ = Fields.getDuration("coldStart");
+  Service.ColdRate_ = Fields.getNumber("coldPerS");
+  if (!Fields.isGood())
+    return std::nullopt;
+  return Service;
+}
+
+std::optional<ClientLimits> decodeLimits(const json &Value, Reason &Why) {
+  FieldReader Fields(Value, Why);
+  ClientLimits Limits;
+  Limits.HeaderBytes_ = Fields.getCount("headerBytes");
+  Limits.BodyBytes_ = Fields.getCount("bodyBytes");
+  Limits.HeaderTimeout_ = Fields.getDuration("headerTimeout");
+  Limits.IdleTimeout_ = Fields.getDuration("idleTimeout");
+  if (!Fields.isGood())
+    return std::nullopt;
+  return Limits;
+}
+
+/// "running,waiting,slots" and, if told, how long work takes now in percent.
+std::optional<LoadReport> decodeLoad(const std::string &Text) {
+  std::vector<std::string> Parts = absl::StrSplit(Text, ',');
+  LoadReport Result;
+  constexpr size_t InterferencePart = 3;
+  if (Parts.size() < InterferencePart ||
+      !absl::SimpleAtoi(Parts[0], &Result.Running_) ||
+      !absl::SimpleAtoi(Parts[1], &Result.Queued_))
+    return std::nullopt;
+  double Percent = 0;
+  constexpr double Whole = 100;
+  if (Parts.size() > InterferencePart &&
+      absl::SimpleAtod(Parts[InterferencePart], &Percent) && Percent > 0)
+    Result.Interference_ = Percent / Whole;
+  return Result;
+}
+
+} // namespace
+
+ClientRequestInfo decodeClientRequest(const RequestMessage &Request) {
+  ClientRequestInfo Result;
+  Result.AttemptId_ = toString(Request[header::AttemptId]);
+  Result.AffinityKey_ = toString(Request[header::Affinity]);
+  double Patience = 0;
+  if (absl::SimpleAtod(toString(Request[header::Deadline]), &Patience) &&
+      Patience >= 0)
+    Result.Patience_ = milliseconds(static_cast<int64_t>(Patience));
+  return Result;
+}
+
+ServerResponseInfo decodeServerResponse(const ResponseMessage &Response) {
+  ServerResponseInfo Result;
+  Result.AttemptId_ = toString(Response[header::AttemptId]);
+  Result.IsSigned_ = Response.count(header::Signature) > 0;
+  constexpr unsigned Misdirected = 421;
+  Result.IsNotExecuted_ = Response.count(header::NotExecuted) > 0 ||
+                          Response.result_int() == Misdirected;
+  Result.Load_ = decodeLoad(toString(Response[header::Load]));
+  int64_t Cold = 0;
+  if (absl::SimpleAtoi(toString(Response[header::ColdLeft]), &Cold))
+    Result.ColdLeft_ = milliseconds(Cold);
+  return Result;
+}
+
+void encodeAttempt(RequestMessage &Request, Duration Left,
+                   const std::string &Instance) {
+  Request.set(header::Deadline, std::to_string(toMilliseconds(Left)));
+  Request.set(header::ExpectedInstance, Instance);
+}
+
+std::optional<LookupQuestion> decodeLookup(const std::string &Target) {
+  std::pair<std::string, std::string> Parts = absl::StrSplit(
+      Target, absl::MaxSplits('?', 1));
+  if (Parts.first != path::Lookup)
+    return std::nullopt;
+  LookupQuestion Result;
+  for (absl::string_view Field : absl::StrSplit(Parts.second, '&')) {
+    std::pair<std::string, std::string> Pair =
+        absl::StrSplit(Field, absl::MaxSplits('=', 1));
+    if (Pair.first == "name")
+      Result.Host_ = Pair.second;
+    else if (Pair.first == "region")
+      Result.Region_ = Pair.second;
+    else if (Pair.first == "zone")
+      Result.Zone_ = Pair.second;
+  }
+  return Result;
+}
+
+ResponseMessage encodeLookup(const std::vector<std::string> &Addresses,
+                             Duration Ttl) {
+  json Body = {{"addresses", Addresses},
+               {"ttl", absl::StrCat(toMilliseconds(Ttl), "ms")}};
+  ResponseMessage Response;
+  Response.result(boost::beast::http::status::ok);
+  Response.set(boost::beast::http::field::content_type, "application/json");
+  Response.body() = Body.dump();
+  return Response;
+}
+
+void encodeRetryAfter(ResponseMessage &Response, Duration Wait) {
+  Response.set(boost::beast::http::field::retry_after,
+               absl::StrCat(std::chrono::duration<double>(Wait).count()));
+}
+
+std::optional<RoutingConfig> decodeRouting(const StoreObject &Object,
+                                           Reason &Why) {
+  FieldReader Fields(Object.Body_, Why);
+  RoutingConfig Result;
+  Result.Revision_ = Object.Revision_;
+  constexpr int Hexadecimal = 16;
+  std::string Version = Fields.getString("version");
+  if (!Fields.isGood() ||
+      !absl::numbers_internal::safe_strtou64_base(Version, &Result.Version_,
+                                                  Hexadecimal)) {
+    Fields.fail("version", "not a hexadecimal number");
+    return std::nullopt;
+  }
+  for (const json &Value : Fields.getList("routes")) {
+    std::optional<RouteConfig> Route = decodeRoute(Value, Why);
+    if (!Route)
+      return std::nullopt;
+    Result.Routes_.push_back(std::move(*Route));
+  }
+  for (const json &Value : Fields.getList("services")) {
+    std::optional<BackendServiceConfig> Service = decodeService(Value, Why);
+    if (!Service)
+      return std::nullopt;
+    Result.Services_.push_back(std::move(*Service));
+  }
+  if (Fields.has("limits")) {
+    std::optional<ClientLimits> Limits =
+        decodeLimits(Object.Body_["limits"], Why);
+    if (!Limits)
+      return std::nullopt;
+    Result.Limits_ = *Limits;
+  }
+  if (!Fields.isGood())
+    return std::nullopt;
+  return Result;
+}
+
+std::optional<ServerRecord> decodeServer(const StoreObject &Object,
+                                         Reason &Why) {
+  FieldReader Fields(Object.Body_, Why);
+  ServerRecord Result;
+  Result.Id_ = Object.Name_;
+  Result.Service_ = Fields.getString("service");
+  Result.Address_ = Fields.getString("address");
+  Result.Zone_ = Fields.getString("zone");
+  Result.Slots_ = Fields.getCount("slots");
+  std::string State = Fields.getString("state");
+  Result.IsDraining_ = State == "draining";
+  if (State != "ready" && State != "draining")
+    Fields.fail("state", "neither ready nor draining");
+  // How long it stays cold, counted from the report.
+  if (Fields.has("coldRemaining"))
+    Result.ColdLeft_ = Fields.getDuration("coldRemaining");
+  if (Fields.has("born"))
+    Result.BornMs_ = static_cast<int64_t>(Fields.getNumber("born"));
+  if (Result.Slots_ == 0)
+    Fields.fail("slots", "zero");
+  if (!Fields.isGood())
+    return std::nullopt;
+  return Result;
+}
+
+std::optional<StorePage> decodePage(const std::string &Body, Reason &Why) {
+  json Root = parseJson(Body);
+  FieldReader Fields(Root, Why);
+  StorePage Result;
+  const json &Items = Fields.getList("items");
+  Result.HasMore_ = Fields.has("hasMore") && Fields.getBool("hasMore");
+  Result.Revision_ = static_cast<Revision>(Fields.getNumber("storeRevision"));
+  if (!Fields.isGood())
+    return std::nullopt;
+  for (const json &Item : Items) {
+    Reason Skipped; // A list holds without the entries that can't be read.
+    if (std::optional<StoreObject> Object = decodeObject(Item, Skipped))
+      Result.Objects_.push_back(std::move(*Object));
+  }
+  return Result;
+}
+
+std::optional<StoreChanges> decodeChanges(const std::string &Body,
+                                          Reason &Why) {
+  json Root = parseJson(Body);
+  FieldReader Fields(Root, Why);
+  StoreChanges Result;
+  const json &Events = Fields.getList("events");
+  Result.Revision_ = static_cast<Revision>(Fields.getNumber("storeRevision"));
+  if (!Fields.isGood())
+    return std::nullopt;
+  for (const json &Event : Events) {
+    Reason Skipped;
+    FieldReader EventFields(Event, Skipped);
+    if (!EventFields.has("object"))
+      continue;
+    std::optional<StoreObject> Object = decodeObject(Event["object"], Skipped);
+    if (Object)
+      Result.Changes_.push_back(
+          {std::move(*Object),
+           EventFields.has("removed") && EventFields.getBool("removed")});
+  }
+  return Result;
+}
+
+} // namespace cranberry::platform
--- /dev/null
+++ b/src/platform/decode_func.h
@@ -0,0 +1,72 @@
+/// \file decode_func.h The platform's messages as the project's types.
+#ifndef CRANBERRY_PLATFORM_DECODE_FUNC_H
+#define CRANBERRY_PLATFORM_DECODE_FUNC_H
+
+#include "core/result_type.h"
+#include "net/http_message_type.h"
+#include "platform/store_type.h"
+#include "request/balancer_type.h"
+#include "version/routing_type.h"
+#include "version/server_record_type.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cranberry::platform {
+
+/// What a client's request says of itself.
+struct ClientRequestInfo {
+  std::string AttemptId_;            ///< Empty if absent.
+  std::string AffinityKey_;          ///< Empty if absent.
+  std::optional<Duration> Patience_; ///< How long the client waits.
+};
+
+/// What a server's response says of its request.
+struct ServerResponseInfo {
+  std::string AttemptId_;       ///< Request that it answers; may be empty.
+  bool IsSigned_ = false;       ///< Whether it bears the server's signature.
+  bool IsNotExecuted_ = false;  ///< Whether the server did not run it.
+  std::optional<LoadReport> Load_;   ///< Load, if told.
+  std::optional<Duration> ColdLeft_; ///< Rest of the cold phase, if told.
+};
+
+/// A client's question where to connect.
+struct LookupQuestion {
+  std::string Host_;   ///< Host that it wants to reach.
+  std::string Region_; ///< Client's region.
+  std::string Zone_;   ///< Client's availability zone.
+};
+
+ClientRequestInfo decodeClientRequest(const RequestMessage &Request);
+ServerResponseInfo decodeServerResponse(const ResponseMessage &Response);
+
+/// Sets the fields that a server gets from this system.
+/// \param Left What is left of the client's time.
+void encodeAttempt(RequestMessage &Request, Duration Left,
+                   const std::string &Instance);
+
+/// \return The question, or nothing if \p Target is not a look-up.
+std::optional<LookupQuestion> decodeLookup(const std::string &Target);
+ResponseMessage encodeLookup(const std::vector<std::string> &Addresses,
+                             Duration Ttl);
+
+/// Tells a client when to come back.
+void encodeRetryAfter(ResponseMessage &Response, Duration Wait);
+
+/// \param[out] Why Field at fault, if there is no result.
+std::optional<RoutingConfig> decodeRouting(const StoreObject &Object,
+                                           Reason &Why);
+std::optional<ServerRecord> decodeServer(const StoreObject &Object,
+                                         Reason &Why);
+
+/// \return Objects of a list, or nothing if \p Body is not one.
+std::optional<StorePage> decodePage(const std::string &Body, Reason &Why);
+
+/// \return Changes of a watch, or nothing if \p Body is not one.
+std::optional<StoreChanges> decodeChanges(const std::string &Body,
+                                          Reason &Why);
+
+} // namespace cranberry::platform
+
+#endif
--- /dev/null
+++ b/src/platform/store_client_base.h
@@ -0,0 +1,70 @@
+/// \file store_client_base.h Calls to the platform's store.
+#ifndef CRANBERRY_PLATFORM_STORE_CLIENT_BASE_H
+#define CRANBERRY_PLATFORM_STORE_CLIENT_BASE_H
+
+#include "net/connection_pool_base.h"
+#include "platform/store_type.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cranberry::platform {
+
+/// How a call ended.
+struct StoreReply {
+  StoreStatus Status_ = StoreStatus::Lost; ///< Status.
+  std::string Body_;                       ///< Body, whatever the status.
+  std::string Text_;                       ///< Reason for people, if not Ok.
+};
+
+using StoreReplyHandler = std::function<void(StoreReply)>;
+
+
+/// Makes calls to one store. Each is one request; nothing is repeated here.
+class StoreClient {
+public:
+  /// \param Address "address:port" of the store.
+  StoreClient(boost::asio::io_context &Loop, std::string Address);
+
+  /// Lists a kind's objects after a name.
+  void list(const std::string &Kind, const std::string &After,
+            StoreReplyHandler End);
+
+  /// Waits for changes of a kind after a revision.
+  /// \param Wait Longest wait at the store.
+  void watch(const std::string &Kind, Revision After, Duration Wait,
+             StoreReplyHandler End);
+
+  /// Creates an object. Conflict if there is one.
+  void create(const std::string &Kind, const std::string &Name,
+              const nlohmann::json &Body, StoreReplyHandler End);
+
+  /// Replaces an object if \p Expected is its revision.
+  void replace(const std::string &Kind, const std::string &Name,
+               Revision Expected, const nlohmann::json &Body,
+               StoreReplyHandler End);
+
+  /// Removes an object.
+  void remove(const std::string &Kind, const std::string &Name,
+              StoreReplyHandler End);
+
+  /// \return Calls made so far.
+  uint64_t getCalls() const { return Calls_; }
+
+private:
+  void call(boost::beast::http::verb Method, const std::string &Target,
+            const std::string &Body, Duration Timeout, StoreReplyHandler End);
+
+  boost::asio::io_context &Loop_; ///< Loop.
+  std::string Address_;           ///< Store.
+  ConnectionPool Connections_;    ///< Connections to it.
+  uint64_t Calls_ = 0;            ///< See getCalls().
+};
+
+
+} // namespace cranberry::platform
+
+#endif
--- /dev/null
+++ b/src/request/balanced_server.cpp
@@ -0,0 +1,185 @@
+/// \file balanced_server.cpp What this entry VM knows of a backend server.
+#include "request/balanced_server_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cranberry {
+
+namespace {
+
+/// Weight of a new value in smoothed figures.
+constexpr double SlownessGain = 0.1;
+constexpr double FailureGain = 0.15;
+constexpr double ForeignGain = 0.5;
+
+/// One attempt counts within these, so that one straggler does not set it.
+constexpr double MaxRatio = 2;
+constexpr double MinRatio = 0.5;
+
+/// Range of the smoothed figure.
+constexpr double MaxSlowness = 8;
+constexpr double MinSlowness = 0.5;
+
+/// Interference comes in bursts of some hundreds of milliseconds.
+constexpr Duration InterferenceLife = milliseconds(300);
+
+/// A load report of others' requests counts half after this time.
+constexpr Duration ForeignHalfLife = milliseconds(1000);
+
+/// Rests after a server could not be reached or lost a request.
+constexpr Duration FirstRest = milliseconds(100);
+constexpr Duration LongestRest = milliseconds(1600);
+
+/// A rest after a refusal; about the time in which a slot gets free.
+constexpr Duration RefusalRest = milliseconds(40);
+
+/// Silence: attempts that have run for this many times what was expected.
+constexpr int SilentFactor = 5;
+constexpr Duration SilentFloor = milliseconds(250);
+
+} // namespace
+
+void ServerState::setConfig(BalancedServer Config) {
+  if (Config.BornMs_ != Config_.BornMs_) {
+    // Restarted: nothing learnt of the earlier process holds.
+    Recent_.clear();
+    Foreign_ = 0;
+    Slowness_ = 1;
+    FailureShare_ = 0;
+    RestUntil_ = Time();
+    Rest_ = Duration(0);
+    IsOnTrial_ = false;
+  }
+  Config.ColdUntil_ = std::max(Config.ColdUntil_, Config_.ColdUntil_);
+  Config_ = std::move(Config);
+}
+
+void ServerState::noteCold(Time Until) {
+  Config_.ColdUntil_ = std::max(Config_.ColdUntil_, Until);
+}
+
+void ServerState::start(FlowIndex Flow, uint64_t Key, Duration Expected,
+                        Time Now) {
+  Attempts_.push_back({Flow, Now, Expected});
+  if (Key != 0)
+    Recent_.insert(Key);
+  ColdGate_.noteStart(Now);
+}
+
+std::optional<Duration>
+ServerState::end(FlowIndex Flow, ServerVerdict Verdict, Duration Ran,
+                 const std::optional<LoadReport> &Load, Time Now) {
+  auto Found =
+      std::find_if(Attempts_.begin(), Attempts_.end(),
+                   [Flow](const Attempt &A) { return A.Flow_ == Flow; });
+  if (Found == Attempts_.end())
+    return std::nullopt;
+  Duration Expected = Found->Expected_;
+  Attempts_.erase(Found);
+  if (Load)
+    noteLoad(*Load, Now);
+  bool IsFailure = Verdict != ServerVerdict::Served;
+  if (Verdict != ServerVerdict::Withdrawn)
+    FailureShare_ += ((IsFailure ? 1 : 0) - FailureShare_) * FailureGain;
+  switch (Verdict) {
+  case ServerVerdict::Served:
+  case ServerVerdict::Failed: {
+    LastAnswer_ = Now;
+    Rest_ = Duration(0);
+    IsOnTrial_ = false;
+    if (IsFailure)
+      return std::nullopt;
+    double Ratio = static_cast<double>(Ran.count()) /
+                   std::max<double>(1, static_cast<double>(Expected.count()));
+    Slowness_ *= 1 + (std::clamp(Ratio, MinRatio, MaxRatio) - 1) * SlownessGain;
+    Slowness_ = std::clamp(Slowness_, MinSlowness, MaxSlowness);
+    return std::max(Ran - Config_.RoundTrip_, Duration(1));
+  }
+  case ServerVerdict::Refused:
+    LastAnswer_ = Now;
+    RestUntil_ = std::max(RestUntil_, Now + RefusalRest);
+    break;
+  case ServerVerdict::Lost:
+    if (isSilent(Now) || Now - LastAnswer_ > seconds(1))
+      rest(Now);
+    break;
+  case ServerVerdict::Unreachable:
+    rest(Now);
+    break;
+  case ServerVerdict::Withdrawn:
+    break;
+  }
+  return std::nullopt;
+}
+
+void ServerState::rest(Time Now) {
+  if (Now < RestUntil_)
+    return;
+  Rest_ = std::clamp(Rest_ * 2, FirstRest, LongestRest);
+  RestUntil_ = Now + Rest_;
+  IsOnTrial_ = true;
+}
+
+void ServerState::noteLoad(const LoadReport &Load, Time Now) {
+  double Others = static_cast<double>(Load.Running_ + Load.Queued_) -
+                  static_cast<double>(Attempts_.size());
+  Foreign_ = getForeign(Now);
+  Foreign_ += (std::max(0.0, Others) - Foreign_) * ForeignGain;
+  ForeignAt_ = Now;
+  Interference_ = Load.Interference_;
+}
+
+double ServerState::getForeign(Time Now) const {
+  double Age = std::chrono::duration<double>(Now - ForeignAt_).count() /
+               std::chrono::duration<double>(ForeignHalfLife).count();
+  return Foreign_ * std::exp2(-Age);
+}
+
+double ServerState::getBusy(Time Now) const {
+  return static_cast<double>(Attempts_.size()) + getForeign(Now);
+}
+
+double ServerState::getSlowness(Time Now) const {
+  double Result = Slowness_ / std::max(0.2, 1 - FailureShare_);
+  if (Now - ForeignAt_ < InterferenceLife)
+    Result *= std::max(1.0, Interference_);
+  return Result;
+}
+
+bool ServerState::hasRoom(Time Now) {
+  if (Now < RestUntil_ || (IsOnTrial_ && !Attempts_.empty()))
+    return false;
+  constexpr double Rounding = 0.5; // Others' use is an estimate.
+  if (getBusy(Now) + 1 > Config_.Slots_ + Rounding)
+    return false;
+  if (isCold(Now) && !ColdGate_.hasRoom(Config_.ColdRate_, Now))
+    return false;
+  return !isSilent(Now);
+}
+
+bool ServerState::isSilent(Time Now) const {
+  unsigned Overdue = 0;
+  for (const Attempt &A : Attempts_) {
+    Duration Age = Now - A.Started_;
+    if (LastAnswer_ < A.Started_ &&
+        Age > std::max(A.Expected_ * SilentFactor / 2, SilentFloor))
+      Overdue += Age > A.Expected_ * SilentFactor ? 2 : 1;
+  }
+  return Overdue >= 2;
+}
+
+std::vector<FlowIndex> ServerState::takeSuspects(Time Now) {
+  std::vector<FlowIndex> Result;
+  if (!isSilent(Now))
+    return Result;
+  for (Attempt &A : Attempts_) {
+    if (A.IsReported_ || Now - A.Started_ < A.Expected_)
+      continue;
+    A.IsReported_ = true;
+    Result.push_back(A.Flow_);
+  }
+  return Result;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/request/rate_gate_base.h
@@ -0,0 +1,38 @@
+/// \file rate_gate_base.h Bounds the requests that start within a second.
+#ifndef CRANBERRY_REQUEST_RATE_GATE_BASE_H
+#define CRANBERRY_REQUEST_RATE_GATE_BASE_H
+
+#include "core/time_type.h"
+
+#include <deque>
+
+namespace cranberry {
+
+/// Counts starts over a sliding window, which unlike a token bucket also
+/// bounds any span that straddles two of its refills.
+class RateGate {
+public:
+  /// \return Whether another start keeps the window at \p Limit or less.
+  bool hasRoom(double Limit, Time Now) {
+    while (!Starts_.empty() && Starts_.front() + Window <= Now)
+      Starts_.pop_front();
+    return static_cast<double>(Starts_.size()) + 1 <= Limit;
+  }
+
+  void noteStart(Time Now) { Starts_.push_back(Now); }
+
+  /// \return When the next start leaves the window.
+  Time getNextRoom(Time Now) const {
+    return Starts_.empty() ? Now : Starts_.front() + Window;
+  }
+
+private:
+  /// A second, and some for differences in the ways to the server.
+  static constexpr Duration Window = milliseconds(1150);
+
+  std::deque<Time> Starts_; ///< Starts within the window.
+};
+
+} // namespace cranberry
+
+#endif
--- /dev/null
+++ b/src/request/service_balancer.cpp
@@ -0,0 +1,289 @@
+/// \file service_balancer.cpp Places the requests of one service.
+#include "request/service_balancer_base.h"
+
+#include "core/duration_func.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cranberry {
+
+namespace {
+
+/// Work on an object that the server has not handled lately, relative to the
+/// typical.
+constexpr double ColdObjectFactor = 1.25;
+
+/// An answer after the objective is worth this share of one in time.
+constexpr double LateShare = 0.2;
+
+/// What a request's bytes to another zone or region cost, as the time that is
+/// worth as much.
+constexpr Duration RegionCost = milliseconds(15);
+constexpr Duration FarCost = milliseconds(40);
+
+/// Share of the objective that is kept for what the prediction misses.
+constexpr double MarginShare = 0.15;
+
+/// Share of a request's time after which it is refused if it can't be in time.
+constexpr double LateHoldShare = 0.4;
+
+/// Shortest and longest time to come back in.
+constexpr Duration MinRetryAfter = milliseconds(100);
+constexpr Duration MaxRetryAfter = seconds(1);
+
+/// While requests wait, estimates move on with time.
+constexpr Duration WaitingStep = milliseconds(10);
+
+/// While attempts are under way, silence is looked for.
+constexpr Duration SilenceStep = milliseconds(100);
+
+/// \return A stable preference of \p Key for a server, from 0 to 1.
+double getPreference(uint64_t Key, const std::string &Server) {
+  uint64_t Hash = Key ^ 0x9e3779b97f4a7c15ULL;
+  for (char C : Server)
+    Hash = (Hash ^ static_cast<unsigned char>(C)) * 0x100000001b3ULL;
+  Hash ^= Hash >> 29U;
+  Hash *= 0xbf58476d1ce4e5b9ULL;
+  Hash ^= Hash >> 32U;
+  constexpr double Range = 4294967296.0;
+  return static_cast<double>(Hash & 0xffffffffU) / Range;
+}
+
+bool contains(const std::vector<std::string> &List, const std::string &Text) {
+  return std::find(List.begin(), List.end(), Text) != List.end();
+}
+
+bool mayUse(const WaitingRequest &Request, const BalancedServer &Server) {
+  return (Request.Homes_.empty() || contains(Request.Homes_, Server.Region_)) &&
+         !contains(Request.Tried_, Server.Id_);
+}
+
+} // namespace
+
+void ServiceBalancer::setServers(const std::vector<BalancedServer> &Servers,
+                                 Time Now) {
+  (void)Now;
+  std::set<std::string> Listed;
+  Usable_.clear();
+  for (const BalancedServer &Server : Servers) {
+    Listed.insert(Server.Id_);
+    std::unique_ptr<ServerState> &State = Servers_[Server.Id_];
+    if (State)
+      State->setConfig(Server);
+    else
+      State = std::make_unique<ServerState>(Server);
+    Usable_.push_back(State.get());
+  }
+  absl::erase_if(Servers_, [&](const auto &Entry) {
+    return !Listed.count(Entry.first) && Entry.second->getInFlight() == 0;
+  });
+}
+
+bool ServiceBalancer::withdraw(FlowIndex Flow) {
+  auto Found = std::find_if(
+      Waiting_.begin(), Waiting_.end(),
+      [Flow](const WaitingRequest &R) { return R.Flow_ == Flow; });
+  if (Found == Waiting_.end())
+    return false;
+  Waiting_.erase(Found);
+  return true;
+}
+
+void ServiceBalancer::endAttempt(const EndedAttempt &Ended, Time Now) {
+  auto Found = Servers_.find(Ended.Server_);
+  if (Found == Servers_.end())
+    return;
+  std::optional<Duration> AtServer = Found->second->end(
+      Ended.Flow_, Ended.Verdict_, Ended.Ran_, Ended.Load_, Now);
+  if (AtServer)
+    History_.note(Ended.Route_, *AtServer, Ended.Objective_);
+}
+
+void ServiceBalancer::noteCold(const std::string &Server, Time Until) {
+  auto Found = Servers_.find(Server);
+  if (Found != Servers_.end())
+    Found->second->noteCold(Until);
+}
+
+Duration ServiceBalancer::getWork(const WaitingRequest &Request) const {
+  return History_.getEstimate(Request.Route_,
+                              Request.ObjectiveAt_ - Request.Arrived_);
+}
+
+double ServiceBalancer::getRank(const WaitingRequest &Request,
+                                Time Now) const {
+  Duration Work = getWork(Request);
+  bool InTime = Now + Work <= Request.ObjectiveAt_;
+  double Worth = Request.Weight_ * (InTime ? 1 : LateShare);
+  return Worth * Request.Weight_ / std::chrono::duration<double>(Work).count();
+}
+
+void ServiceBalancer::sortWaiting(Time Now) {
+  std::vector<std::pair<double, size_t>> Order;
+  Order.reserve(Waiting_.size());
+  for (size_t I = 0; I < Waiting_.size(); ++I)
+    Order.emplace_back(getRank(Waiting_[I], Now), I);
+  std::stable_sort(Order.begin(), Order.end(),
+                   [](const auto &A, const auto &B) {
+                     return A.first > B.first;
+                   });
+  std::vector<WaitingRequest> Sorted;
+  Sorted.reserve(Waiting_.size());
+  for (const auto &[Rank, Index] : Order)
+    Sorted.push_back(std::move(Waiting_[Index]));
+  Waiting_ = std::move(Sorted);
+}
+
+ServiceBalancer::Backlog ServiceBalancer::makeBacklog() const {
+  Backlog Result;
+  for (const ServerState *Server : Usable_)
+    if (Server->getConfig().Proximity_ == Proximity::SameZone)
+      Result.Slots_ += Server->getConfig().Slots_;
+  return Result;
+}
+
+Duration ServiceBalancer::getWait(const Backlog &Ahead, Duration Work) {
+  if (Ahead.Slots_ <= 0)
+    return Duration::max() / 4;
+  return scale(Ahead.AheadWork_ + Work, 1 / Ahead.Slots_);
+}
+
+ServiceBalancer::Candidate
+ServiceBalancer::pick(const WaitingRequest &Request, Proximity Farthest,
+                      Time Now) const {
+  Duration Work = getWork(Request);
+  Candidate Best;
+  for (ServerState *Server : Usable_) {
+    const BalancedServer &Config = Server->getConfig();
+    if (Config.Proximity_ > Farthest || !mayUse(Request, Config) ||
+        !Server->hasRoom(Now))
+      continue;
+    double Factor = Server->getSlowness(Now);
+    if (!Server->isWarm(Request.Key_))
+      Factor *= ColdObjectFactor;
+    if (Server->isCold(Now))
+      Factor *= 2;
+    Duration Finish = Config.RoundTrip_ + scale(Work, Factor);
+    Duration Cost = Finish;
+    if (Config.Proximity_ == Proximity::SameRegion)
+      Cost += RegionCost;
+    if (Config.Proximity_ == Proximity::OtherRegion)
+      Cost += FarCost;
+    constexpr double SpreadShare = 0.1; // Keeps keys at the same servers.
+    Cost -= scale(Work, SpreadShare * getPreference(Request.Key_, Config.Id_));
+    constexpr double FullShare = 0.2; // Others may have taken the last slot.
+    Cost += scale(Work, FullShare * Server->getBusy(Now) / Config.Slots_);
+    if (!Best.Server_ || Cost < Best.Cost_)
+      Best = {Server, Finish, Cost};
+  }
+  return Best;
+}
+
+ServiceBalancer::Candidate
+ServiceBalancer::choose(const WaitingRequest &Request, const Backlog &Ahead,
+                        Time Now) const {
+  Candidate Near = pick(Request, Proximity::SameZone, Now);
+  if (Near.Server_)
+    return Near;
+  Duration Work = getWork(Request);
+  Duration Wait = getWait(Ahead, Work);
+  Duration Objective = Request.ObjectiveAt_ - Request.Arrived_;
+  Duration Slack = Request.ObjectiveAt_ - Now - Work -
+                   scale(Objective, MarginShare);
+  if (Wait <= Slack)
+    return {};
+  Candidate Far = pick(Request, Proximity::SameRegion, Now);
+  if (Far.Server_)
+    return Far;
+  Far = pick(Request, Proximity::OtherRegion, Now);
+  if (!Far.Server_)
+    return {};
+  bool FarInTime = Now + Far.Finish_ <= Request.ObjectiveAt_;
+  if (FarInTime || Wait > Far.Server_->getConfig().RoundTrip_ + Work)
+    return Far;
+  return {};
+}
+
+bool ServiceBalancer::hasServer(const WaitingRequest &Request) const {
+  return std::any_of(Usable_.begin(), Usable_.end(),
+                     [&Request](const ServerState *Server) {
+                       return mayUse(Request, Server->getConfig());
+                     });
+}
+
+std::optional<RefuseRequest>
+ServiceBalancer::refuse(const WaitingRequest &Request, const Backlog &Ahead,
+                        Time Now) const {
+  RefuseRequest Result{Request.Flow_, RefusalCause::NoServer, MinRetryAfter,
+                       static_cast<unsigned>(Waiting_.size())};
+  if (!hasServer(Request))
+    return Result;
+  Result.Cause_ = RefusalCause::NoRoom;
+  Duration Work = getWork(Request);
+  Duration Wait = getWait(Ahead, Work);
+  Result.RetryAfter_ = std::clamp(Wait, MinRetryAfter, MaxRetryAfter);
+  if (Now + Work >= Request.Deadline_)
+    return Result;
+  bool InTime = Now + Wait + Work <= Request.ObjectiveAt_;
+  Duration Span = Request.ObjectiveAt_ - Request.Arrived_;
+  if (!InTime && Now - Request.Arrived_ > scale(Span, LateHoldShare))
+    return Result;
+  return std::nullopt;
+}
+
+void ServiceBalancer::start(const WaitingRequest &Request,
+                            const Candidate &Where, Time Now,
+                            std::vector<BalancerAction> &Out) {
+  const BalancedServer &Config = Where.Server_->getConfig();
+  Out.push_back(StartAttempt{Request.Flow_, Config.Id_, Config.Proximity_,
+                             static_cast<unsigned>(Waiting_.size()),
+                             Where.Server_->getBusy(Now), Where.Finish_});
+  Where.Server_->start(Request.Flow_, Request.Key_, Where.Finish_, Now);
+}
+
+void ServiceBalancer::findSilent(Time Now, std::vector<BalancerAction> &Out) {
+  for (auto &[Id, Server] : Servers_)
+    for (FlowIndex Flow : Server->takeSuspects(Now))
+      Out.push_back(SuspectAttempt{Flow, Id});
+}
+
+std::vector<BalancerAction> ServiceBalancer::step(Time Now) {
+  std::vector<BalancerAction> Out;
+  findSilent(Now, Out);
+  if (Waiting_.empty())
+    return Out;
+  sortWaiting(Now);
+  Backlog Ahead = makeBacklog();
+  std::vector<WaitingRequest> Kept;
+  for (WaitingRequest &Request : Waiting_) {
+    if (Candidate Where = choose(Request, Ahead, Now); Where.Server_) {
+      start(Request, Where, Now, Out);
+      continue;
+    }
+    if (std::optional<RefuseRequest> Refusal = refuse(Request, Ahead, Now)) {
+      Out.push_back(*Refusal);
+      continue;
+    }
+    Ahead.AheadWork_ += getWork(Request);
+    ++Ahead.Count_;
+    Kept.push_back(std::move(Request));
+  }
+  Waiting_ = std::move(Kept);
+  return Out;
+}
+
+Time ServiceBalancer::getNextWake(Time Now) const {
+  if (!Waiting_.empty())
+    return Now + WaitingStep;
+  return getInFlight() > 0 ? Now + SilenceStep : Time::max();
+}
+
+unsigned ServiceBalancer::getInFlight() const {
+  unsigned Result = 0;
+  for (const auto &[Id, Server] : Servers_)
+    Result += Server->getInFlight();
+  return Result;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/steering/heartbeat_codec.cpp
@@ -0,0 +1,67 @@
+/// \file heartbeat_codec.cpp Heartbeats between entry VMs as JSON.
+#include "steering/heartbeat_codec_func.h"
+
+#include <nlohmann/json.hpp>
+
+using nlohmann::json;
+
+namespace cranberry {
+
+namespace {
+
+json encodeMember(const Member &Vm) {
+  return {{"vm", Vm.Vm_},
+          {"region", Vm.Region_},
+          {"zone", Vm.Zone_},
+          {"http", Vm.HttpAddress_},
+          {"peer", Vm.PeerAddress_},
+          {"incarnation", Vm.Incarnation_},
+          {"sequence", Vm.Sequence_},
+          {"state", static_cast<unsigned>(Vm.State_)},
+          {"revision", Vm.Revision_}};
+}
+
+Member decodeMember(const json &Value) {
+  constexpr unsigned States = std::size(MemberStateNames);
+  Member Result;
+  Result.Vm_ = Value.at("vm");
+  Result.Region_ = Value.at("region");
+  Result.Zone_ = Value.at("zone");
+  Result.HttpAddress_ = Value.at("http");
+  Result.PeerAddress_ = Value.at("peer");
+  Result.Incarnation_ = Value.at("incarnation");
+  Result.Sequence_ = Value.at("sequence");
+  Result.State_ = static_cast<MemberState>(
+      std::min(Value.at("state").get<unsigned>(), States - 1));
+  Result.Revision_ = Value.at("revision");
+  return Result;
+}
+
+} // namespace
+
+std::string encodeHeartbeat(const HeartbeatBody &Body) {
+  json Updates = json::array();
+  for (const Member &Vm : Body.Updates_)
+    Updates.push_back(encodeMember(Vm));
+  return json{{"sender", encodeMember(Body.Sender_)},
+              {"updates", Updates},
+              {"wantsAll", Body.WantsAll_}}
+      .dump();
+}
+
+std::optional<HeartbeatBody> decodeHeartbeat(const std::string &Text) {
+  // The library reports a missing or wrong field by an exception.
+  try {
+    json Root = json::parse(Text);
+    HeartbeatBody Result;
+    Result.Sender_ = decodeMember(Root.at("sender"));
+    for (const json &Vm : Root.at("updates"))
+      Result.Updates_.push_back(decodeMember(Vm));
+    Result.WantsAll_ = Root.at("wantsAll");
+    return Result;
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/steering/peer_exchange_base.h
@@ -0,0 +1,59 @@
+/// \file peer_exchange_base.h Heartbeats among the entry VMs.
+#ifndef CRANBERRY_STEERING_PEER_EXCHANGE_BASE_H
+#define CRANBERRY_STEERING_PEER_EXCHANGE_BASE_H
+
+#include "core/event_log_base.h"
+#include "net/connection_pool_base.h"
+#include "net/ingress_server_base.h"
+#include "process/membership_base.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cranberry {
+
+/// Sends and answers heartbeats, and tells when the list of members changes.
+class PeerExchange {
+public:
+  /// \param OnChange Called after the list of members has changed.
+  PeerExchange(boost::asio::io_context &Loop, Member Self, Duration Period,
+               EventLog &Log, std::function<void()> OnChange);
+
+  /// Opens the port for other entry VMs and starts to send.
+  /// \param[out] Why PortUnavailable if the result is false.
+  bool open(Reason &Why);
+
+  /// Adds an entry VM that was found elsewhere.
+  void addSeed(const std::string &Address) { Membership_.addSeed(Address); }
+
+  /// Announces that this VM is leaving.
+  void leave();
+
+  /// \return This VM and all others that serve or may serve.
+  MemberList getMembers() const { return Membership_.getMembers(); }
+
+  const Member &getSelf() const { return Membership_.getSelf(); }
+
+private:
+  void sendRound();
+  void send(const std::string &Address);
+  void handle(const IngressExchangePtr &Exchange);
+  void noteChange();
+
+  boost::asio::io_context &Loop_;    ///< Loop.
+  Duration Period_;                  ///< Between heartbeats.
+  EventLog &Log_;                    ///< Log.
+  std::function<void()> OnChange_;   ///< See the constructor.
+  Membership Membership_;            ///< Decides who is alive.
+  uint64_t ViewVersion_ = 0;         ///< Last one that was told.
+  IngressServer Server_;             ///< Port for other entry VMs.
+  ConnectionPool Connections_;       ///< To other entry VMs.
+  boost::asio::steady_timer Timer_;  ///< Next round.
+};
+
+} // namespace cranberry
+
+#endif
--- /dev/null
+++ b/src/steering/store_follower_base.h
@@ -0,0 +1,77 @@
+/// \file store_follower_base.h Follows one kind of objects in the store.
+#ifndef CRANBERRY_STEERING_STORE_FOLLOWER_BASE_H
+#define CRANBERRY_STEERING_STORE_FOLLOWER_BASE_H
+
+#include "core/event_log_base.h"
+#include "core/time_type.h"
+#include "platform/store_client_base.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace cranberry {
+
+/// How a kind is followed.
+struct FollowPlan {
+  std::string Kind_;   ///< Kind of objects.
+  Duration Pace_{0};   ///< Least time between two watches. Each is priced, and
+                       ///< one answer brings all changes since the last.
+  Duration Wait_ = seconds(20); ///< Longest wait at the store.
+};
+
+/// What a follower tells its owner.
+struct FollowHandlers {
+  /// The store told all objects.
+  std::function<void(const std::vector<platform::StoreObject> &)> OnList_;
+  /// The store told one change.
+  std::function<void(const platform::StoreChange &)> OnChange_;
+  /// A call failed, the first after one that did not.
+  std::function<void()> OnLost_;
+  /// A call succeeded, the first after one that failed.
+  std::function<void()> OnRegained_;
+};
+
+/// Lists a kind and then watches it. After failures it goes on from the last
+/// revision, or lists anew where the store has forgotten that.
+class StoreFollower {
+public:
+  StoreFollower(boost::asio::io_context &Loop, platform::StoreClient &Store,
+                FollowPlan Plan, FollowHandlers Handlers, EventLog &Log);
+
+  void start() { list(); }
+
+  /// \return Whether the kind was listed.
+  bool isKnown() const { return IsKnown_; }
+
+  /// \return Revision up to which changes are known.
+  Revision getRevision() const { return Revision_; }
+
+private:
+  void list();
+  void takePage(const platform::StoreReply &Reply);
+  void watch();
+  void takeChanges(const platform::StoreReply &Reply);
+  void retry(platform::StoreStatus Status, const std::string &Text);
+  void noteSuccess();
+  void after(Duration Wait, void (StoreFollower::*Next)());
+
+  platform::StoreClient &Store_;    ///< Store.
+  FollowPlan Plan_;                 ///< Plan.
+  FollowHandlers Handlers_;         ///< Owner's.
+  EventLog &Log_;                   ///< Log.
+  boost::asio::steady_timer Timer_; ///< Next call.
+  std::vector<platform::StoreObject> Listed_; ///< Pages so far.
+  Revision Revision_ = 0;    ///< See getRevision().
+  Time LastWatch_;           ///< Start of the last watch.
+  Duration Backoff_{0};      ///< Last wait after a failure.
+  bool IsKnown_ = false;     ///< See isKnown().
+  bool IsLost_ = false;      ///< The last call failed.
+  bool IsStale_ = true;      ///< Must be listed before it is watched.
+};
+
+} // namespace cranberry
+
+#endif
