Fix: [Steering] List a kind anew after a failed watch; refuse what a stop would cut

A request read 3.8 s after SIGTERM ran past the process's end: LOST. Change: after any failure the kind is listed; a request whose deadline lies behind the end of a planned stop is refused as not run.

--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -243,6 +243,10 @@
   Request.Weight_ = getWeight(Route.Priority_);
   Request.Homes_ = Route.HomeRegions_;
   eraseHopByHopFields(Message);
+  if (Request.Deadline_ > End_) {
+    answerError(Exchange, Unavailable);
+    return;
+  }
   Open.Timer_ = std::make_unique<boost::asio::steady_timer>(
       Loop_, Request.Deadline_);
   Open.Timer_->async_wait([this, At = Open.Index_](error_code Cancelled) {
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -59,6 +59,9 @@
     OnMisdirected_ = std::move(Action);
   }
 
+  /// The process ends then: what could last longer is refused at once.
+  void setEnd(Time End) { End_ = End; }
+
   size_t getOpenFlows() const { return Flows_.size(); }
   const RouterStats &getStats() const { return Stats_; }
   const ConnectionPool &getConnections() const { return Connections_; }
@@ -148,6 +151,7 @@
   absl::flat_hash_map<uint64_t, FlowPtr> Flows_; ///< Not answered.
   std::map<std::string, Duration> RoundTrips_;   ///< Measured, by region.
   std::function<void(const std::string &)> OnMisdirected_; ///< See setter.
+  Time End_ = Time::max(); ///< See setEnd().
   uint64_t NextFlow_ = 1; ///< Number of the next flow.
   RouterStats Stats_;     ///< Figures.
 };
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -319,6 +319,7 @@
   StopBy_ = getNow() + Settings_.StopGrace_;
   Peers_.leave();
   Front_.startDrain();
+  Router_.setEnd(getNow() + scale(Settings_.StopGrace_, EndShare));
   Store_.remove(platform::kind::EntryVms, Settings_.Vm_,
                 [](const StoreReply &) {});
   Log_.write(getNow(), "stop",
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -36,7 +36,6 @@
 }
 
 void StoreFollower::list() {
-  IsStale_ = true;
   std::string After = Listed_.empty() ? "" : Listed_.back().Name_;
   Store_.list(Plan_.Kind_, After,
               [this](const StoreReply &Reply) { takePage(Reply); });
@@ -66,7 +65,6 @@
     return;
   }
   noteSuccess();
-  IsStale_ = false;
   IsKnown_ = true;
   std::vector<platform::StoreObject> Objects;
   Objects.swap(Listed_);
@@ -123,7 +121,9 @@
     Handlers_.OnLost_();
   }
   Backoff_ = std::clamp(Backoff_ * 2, FirstBackoff, LongestBackoff);
-  after(Backoff_, IsStale_ ? &StoreFollower::list : &StoreFollower::watch);
+  // A watch resumed after a failure may wait on history that the store has
+  // dropped meanwhile, and would not hear of it before the next change.
+  after(Backoff_, &StoreFollower::list);
 }
 
 void StoreFollower::noteSuccess() {
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -34,8 +34,7 @@
   std::function<void()> OnRegained_;
 };
 
-/// Lists a kind and then watches it. After failures it goes on from the last
-/// revision, or lists anew where the store has forgotten that.
+/// Lists a kind and then watches it. After a failure it lists anew.
 class StoreFollower {
 public:
   StoreFollower(boost::asio::io_context &Loop, platform::StoreClient &Store,
@@ -69,7 +68,6 @@
   Duration Backoff_{0};      ///< Last wait after a failure.
   bool IsKnown_ = false;     ///< See isKnown().
   bool IsLost_ = false;      ///< The last call failed.
-  bool IsStale_ = true;      ///< Must be listed before it is watched.
 };
 
 } // namespace cranberry
