Feature: [Request] Place requests where their objects are warm

Cause: a trial that logged each attempt's key and time showed two lengths of work, 95 ms and 300 ms on tracker: an object that its server handled lately takes a third of the time. Requests went to any server with room, so each server's set of warm objects was pushed out by new ones; a third were warm. Ruled out: queueing at the VMs (median wait 40 to 60 ms), noise (1.0 median). Change: a server's warm objects are modelled as a list whose size is learnt from which requests turn out fast; a request may wait for the server that has its object warm; a new object costs more at a server that is full; objects prefer the same servers on all VMs.

--- a/src/request/balanced_server.cpp
+++ b/src/request/balanced_server.cpp
@@ -12,6 +12,7 @@
 constexpr double SlownessGain = 0.1;
 constexpr double FailureGain = 0.15;
 constexpr double ForeignGain = 0.5;
+constexpr double MeanGain = 0.1;
 
 /// One attempt counts within these, so that one straggler does not set it.
 constexpr double MaxRatio = 2;
@@ -43,7 +44,7 @@
 void ServerState::setConfig(BalancedServer Config) {
   if (Config.BornMs_ != Config_.BornMs_) {
     // Restarted: nothing learnt of the earlier process holds.
-    Recent_.clear();
+    Warm_.clear();
     Foreign_ = 0;
     Slowness_ = 1;
     FailureShare_ = 0;
@@ -61,41 +62,49 @@
 
 void ServerState::start(FlowIndex Flow, uint64_t Key, Duration Expected,
                         Time Now) {
-  Attempts_.push_back({Flow, Now, Expected});
-  if (Key != 0)
-    Recent_.insert(Key);
+  Attempts_.push_back({Flow, Now, Expected, Warm_.get(Key)});
+  Warm_.touch(Key);
   ColdGate_.noteStart(Now);
 }
 
-std::optional<Duration>
-ServerState::end(FlowIndex Flow, ServerVerdict Verdict, Duration Ran,
-                 const std::optional<LoadReport> &Load, Time Now) {
-  auto Found =
-      std::find_if(Attempts_.begin(), Attempts_.end(),
-                   [Flow](const Attempt &A) { return A.Flow_ == Flow; });
+WorkSample ServerState::noteServed(const Attempt &Done, Duration Ran,
+                                   const WorkEstimate &Work) {
+  double Ratio =
+      static_cast<double>(Ran.count()) /
+      std::max<double>(1, static_cast<double>(Done.Expected_.count()));
+  Slowness_ *= 1 + (std::clamp(Ratio, MinRatio, MaxRatio) - 1) * SlownessGain;
+  Slowness_ = std::clamp(Slowness_, MinSlowness, MaxSlowness);
+  Duration AtServer = std::max(Ran - Config_.RoundTrip_, Duration(1));
+  MeanWork_ += scale(AtServer - MeanWork_, MeanGain);
+  Duration Usual = scale(AtServer, 1 / std::max(1.0, Interference_));
+  Warm_.learn(Done.Before_, Work.isFast(Usual));
+  return {Done.Before_, Usual};
+}
+
+std::optional<WorkSample> ServerState::end(const EndedAttempt &Ended,
+                                           const WorkEstimate &Work, Time Now) {
+  auto Found = std::find_if(
+      Attempts_.begin(), Attempts_.end(),
+      [&Ended](const Attempt &A) { return A.Flow_ == Ended.Flow_; });
   if (Found == Attempts_.end())
     return std::nullopt;
-  Duration Expected = Found->Expected_;
+  Attempt Done = *Found;
   Attempts_.erase(Found);
-  if (Load)
-    noteLoad(*Load, Now);
+  if (Ended.Load_)
+    noteLoad(*Ended.Load_, Now);
+  ServerVerdict Verdict = Ended.Verdict_;
   bool IsFailure = Verdict != ServerVerdict::Served;
   if (Verdict != ServerVerdict::Withdrawn)
     FailureShare_ += ((IsFailure ? 1 : 0) - FailureShare_) * FailureGain;
   switch (Verdict) {
   case ServerVerdict::Served:
-  case ServerVerdict::Failed: {
+  case ServerVerdict::Failed:
     LastAnswer_ = Now;
     Rest_ = Duration(0);
     IsOnTrial_ = false;
-    if (IsFailure)
-      return std::nullopt;
-    double Ratio = static_cast<double>(Ran.count()) /
-                   std::max<double>(1, static_cast<double>(Expected.count()));
-    Slowness_ *= 1 + (std::clamp(Ratio, MinRatio, MaxRatio) - 1) * SlownessGain;
-    Slowness_ = std::clamp(Slowness_, MinSlowness, MaxSlowness);
-    return std::max(Ran - Config_.RoundTrip_, Duration(1));
-  }
+    if (!IsFailure)
+      return noteServed(Done, Ended.Ran_, Work);
+    break;
   case ServerVerdict::Refused:
     LastAnswer_ = Now;
     RestUntil_ = std::max(RestUntil_, Now + RefusalRest);
@@ -147,17 +156,22 @@
   return Result;
 }
 
-bool ServerState::hasRoom(Time Now) {
+bool ServerState::isAvailable(Time Now) {
   if (Now < RestUntil_ || (IsOnTrial_ && !Attempts_.empty()))
     return false;
-  constexpr double Rounding = 0.5; // Others' use is an estimate.
-  if (getBusy(Now) + 1 > Config_.Slots_ + Rounding)
-    return false;
   if (isCold(Now) && !ColdGate_.hasRoom(Config_.ColdRate_, Now))
     return false;
   return !isSilent(Now);
 }
 
+Duration ServerState::getWait(unsigned Planned, Time Now) const {
+  constexpr double Rounding = 0.5; // Others' use is an estimate.
+  double Over = getBusy(Now) + Planned + 1 - Config_.Slots_;
+  if (Over <= Rounding)
+    return Duration(0);
+  return scale(MeanWork_, std::max(1.0, Over) / Config_.Slots_);
+}
+
 bool ServerState::isSilent(Time Now) const {
   unsigned Overdue = 0;
   for (const Attempt &A : Attempts_) {
--- a/src/request/balanced_server_base.h
+++ b/src/request/balanced_server_base.h
@@ -4,12 +4,19 @@
 
 #include "request/balancer_type.h"
 #include "request/rate_gate_base.h"
-#include "request/recent_keys_base.h"
+#include "request/warm_set_base.h"
+#include "request/work_history_base.h"
 
 #include <vector>
 
 namespace cranberry {
 
+/// What an attempt told of the length of work.
+struct WorkSample {
+  Warmth Before_ = Warmth::Unknown; ///< Thought of its object when it was sent.
+  Duration Ran_{0};                 ///< Time at the server.
+};
+
 /// Load, speed and health of one server, from this VM's own attempts and the
 /// reports that come with their answers.
 class ServerState {
@@ -22,17 +29,21 @@
   const BalancedServer &getConfig() const { return Config_; }
 
   /// An attempt was sent.
+  /// \param Expected Predicted time until its answer.
   void start(FlowIndex Flow, uint64_t Key, Duration Expected, Time Now);
 
   /// An attempt ended.
-  /// \param Expected Typical time at a server for such a request.
-  /// \return Time at the server, if the attempt tells it.
-  std::optional<Duration> end(FlowIndex Flow, ServerVerdict Verdict,
-                              Duration Ran,
-                              const std::optional<LoadReport> &Load, Time Now);
+  /// \param Work Typical times of such a request.
+  /// \return What it tells of the time at a server, if anything.
+  std::optional<WorkSample> end(const EndedAttempt &Ended,
+                                const WorkEstimate &Work, Time Now);
 
-  /// \return Whether a request may be sent there now.
-  bool hasRoom(Time Now);
+  /// \return Whether requests may go there now, if there is a free slot.
+  bool isAvailable(Time Now);
+
+  /// \return Expected wait for a slot, behind \p Planned requests that wait on
+  /// this VM for the same server.
+  Duration getWait(unsigned Planned, Time Now) const;
 
   /// \return Estimated requests there, those of other VMs included.
   double getBusy(Time Now) const;
@@ -43,7 +54,10 @@
   /// \return Expected length of work, relative to the usual.
   double getSlowness(Time Now) const;
 
-  bool isWarm(uint64_t Key) const { return Key != 0 && Recent_.contains(Key); }
+  Warmth getWarmth(uint64_t Key) const { return Warm_.get(Key); }
+
+  /// \return Whether another object would push a warm one out.
+  bool isWarmSetFull() const { return Warm_.isFull(); }
   bool isCold(Time Now) const { return Now < Config_.ColdUntil_; }
   unsigned getInFlight() const {
     return static_cast<unsigned>(Attempts_.size());
@@ -64,15 +78,19 @@
     FlowIndex Flow_;         ///< Client's request.
     Time Started_;           ///< When it was sent.
     Duration Expected_;      ///< Predicted time until the answer.
+    Warmth Before_;          ///< Of its object when it was sent.
     bool IsReported_ = false; ///< By takeSuspects().
   };
 
   void noteLoad(const LoadReport &Load, Time Now);
+  WorkSample noteServed(const Attempt &Done, Duration Ran,
+                        const WorkEstimate &Work);
   void rest(Time Now);
 
   BalancedServer Config_;         ///< Newest record.
   std::vector<Attempt> Attempts_; ///< Under way.
-  RecentKeys Recent_;             ///< Objects sent there.
+  WarmSet Warm_;                  ///< Objects sent there.
+  Duration MeanWork_ = milliseconds(150); ///< Smoothed time at the server.
   RateGate ColdGate_;             ///< Starts while it is cold.
   double Foreign_ = 0;            ///< Requests of others at ForeignAt_.
   Time ForeignAt_;                ///< Last load report.
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -10,20 +10,20 @@
 
 namespace {
 
-/// Work on an object that the server has not handled lately, relative to the
-/// typical.
-constexpr double ColdObjectFactor = 1.25;
+/// A new object at a server that is full of warm ones makes another one cold:
+/// the share of the time saved by warmth that this costs later.
+constexpr double EvictionShare = 0.7;
+
+/// A cold server's work takes about this many times as long.
+constexpr double ColdServerFactor = 2;
 
 /// An answer after the objective is worth this share of one in time.
 constexpr double LateShare = 0.2;
 
 /// What a request's bytes to another zone or region cost, as the time that is
 /// worth as much.
-constexpr Duration RegionCost = milliseconds(15);
-constexpr Duration FarCost = milliseconds(40);
-
-/// Share of the objective that is kept for what the prediction misses.
-constexpr double MarginShare = 0.15;
+constexpr Duration RegionCost = milliseconds(25);
+constexpr Duration FarCost = milliseconds(60);
 
 /// Share of a request's time after which it is refused if it can't be in time.
 constexpr double LateHoldShare = 0.4;
@@ -94,10 +94,11 @@
   auto Found = Servers_.find(Ended.Server_);
   if (Found == Servers_.end())
     return;
-  std::optional<Duration> AtServer = Found->second->end(
-      Ended.Flow_, Ended.Verdict_, Ended.Ran_, Ended.Load_, Now);
-  if (AtServer)
-    History_.note(Ended.Route_, *AtServer, Ended.Objective_);
+  WorkEstimate Work = History_.getEstimate(Ended.Route_, Ended.Objective_);
+  std::optional<WorkSample> Sample = Found->second->end(Ended, Work, Now);
+  if (Sample)
+    History_.note(Ended.Route_, Sample->Before_, Sample->Ran_,
+                  Ended.Objective_);
 }
 
 void ServiceBalancer::noteCold(const std::string &Server, Time Until) {
@@ -106,14 +107,14 @@
     Found->second->noteCold(Until);
 }
 
-Duration ServiceBalancer::getWork(const WaitingRequest &Request) const {
+WorkEstimate ServiceBalancer::getWork(const WaitingRequest &Request) const {
   return History_.getEstimate(Request.Route_,
                               Request.ObjectiveAt_ - Request.Arrived_);
 }
 
 double ServiceBalancer::getRank(const WaitingRequest &Request,
                                 Time Now) const {
-  Duration Work = getWork(Request);
+  Duration Work = getWork(Request).Warm_;
   bool InTime = Now + Work <= Request.ObjectiveAt_;
   double Worth = Request.Weight_ * (InTime ? 1 : LateShare);
   return Worth * Request.Weight_ / std::chrono::duration<double>(Work).count();
@@ -135,76 +136,54 @@
   Waiting_ = std::move(Sorted);
 }
 
-ServiceBalancer::Backlog ServiceBalancer::makeBacklog() const {
-  Backlog Result;
-  for (const ServerState *Server : Usable_)
-    if (Server->getConfig().Proximity_ == Proximity::SameZone)
-      Result.Slots_ += Server->getConfig().Slots_;
+ServiceBalancer::Candidate
+ServiceBalancer::rate(const WaitingRequest &Request, ServerState &Server,
+                      const WorkEstimate &Work, unsigned Planned,
+                      Time Now) const {
+  const BalancedServer &Config = Server.getConfig();
+  Warmth State = Server.getWarmth(Request.Key_);
+  double Factor = Server.getSlowness(Now);
+  if (Server.isCold(Now))
+    Factor *= ColdServerFactor;
+  Candidate Result;
+  Result.Server_ = &Server;
+  Result.Wait_ = Server.getWait(Planned, Now);
+  Result.Finish_ =
+      Result.Wait_ + Config.RoundTrip_ + scale(Work.get(State), Factor);
+  Result.Cost_ = Result.Finish_;
+  if (Config.Proximity_ == Proximity::SameRegion)
+    Result.Cost_ += RegionCost;
+  if (Config.Proximity_ == Proximity::OtherRegion)
+    Result.Cost_ += FarCost;
+  if (State == Warmth::Warm)
+    return Result;
+  if (Request.Key_ != 0 && Server.isWarmSetFull())
+    Result.Cost_ += scale(Work.Cold_ - Work.Warm_, EvictionShare);
+  // All VMs prefer the same servers for an object, so that few keep it.
+  constexpr double PreferenceShare = 0.3;
+  Result.Cost_ -=
+      scale(Work.Cold_,
+            PreferenceShare * getPreference(Request.Key_, Config.Id_));
   return Result;
 }
 
-Duration ServiceBalancer::getWait(const Backlog &Ahead, Duration Work) {
-  if (Ahead.Slots_ <= 0)
-    return Duration::max() / 4;
-  return scale(Ahead.AheadWork_ + Work, 1 / Ahead.Slots_);
-}
-
 ServiceBalancer::Candidate
-ServiceBalancer::pick(const WaitingRequest &Request, Proximity Farthest,
-                      Time Now) const {
-  Duration Work = getWork(Request);
+ServiceBalancer::choose(const WaitingRequest &Request, const Plan &Planned,
+                        Time Now) const {
+  WorkEstimate Work = getWork(Request);
   Candidate Best;
   for (ServerState *Server : Usable_) {
-    const BalancedServer &Config = Server->getConfig();
-    if (Config.Proximity_ > Farthest || !mayUse(Request, Config) ||
-        !Server->hasRoom(Now))
+    if (!mayUse(Request, Server->getConfig()) || !Server->isAvailable(Now))
       continue;
-    double Factor = Server->getSlowness(Now);
-    if (!Server->isWarm(Request.Key_))
-      Factor *= ColdObjectFactor;
-    if (Server->isCold(Now))
-      Factor *= 2;
-    Duration Finish = Config.RoundTrip_ + scale(Work, Factor);
-    Duration Cost = Finish;
-    if (Config.Proximity_ == Proximity::SameRegion)
-      Cost += RegionCost;
-    if (Config.Proximity_ == Proximity::OtherRegion)
-      Cost += FarCost;
-    constexpr double SpreadShare = 0.1; // Keeps keys at the same servers.
-    Cost -= scale(Work, SpreadShare * getPreference(Request.Key_, Config.Id_));
-    constexpr double FullShare = 0.2; // Others may have taken the last slot.
-    Cost += scale(Work, FullShare * Server->getBusy(Now) / Config.Slots_);
-    if (!Best.Server_ || Cost < Best.Cost_)
-      Best = {Server, Finish, Cost};
+    auto Found = Planned.find(Server);
+    Candidate Next = rate(Request, *Server, Work,
+                          Found == Planned.end() ? 0 : Found->second, Now);
+    if (!Best.Server_ || Next.Cost_ < Best.Cost_)
+      Best = Next;
   }
   return Best;
 }
 
-ServiceBalancer::Candidate
-ServiceBalancer::choose(const WaitingRequest &Request, const Backlog &Ahead,
-                        Time Now) const {
-  Candidate Near = pick(Request, Proximity::SameZone, Now);
-  if (Near.Server_)
-    return Near;
-  Duration Work = getWork(Request);
-  Duration Wait = getWait(Ahead, Work);
-  Duration Objective = Request.ObjectiveAt_ - Request.Arrived_;
-  Duration Slack = Request.ObjectiveAt_ - Now - Work -
-                   scale(Objective, MarginShare);
-  if (Wait <= Slack)
-    return {};
-  Candidate Far = pick(Request, Proximity::SameRegion, Now);
-  if (Far.Server_)
-    return Far;
-  Far = pick(Request, Proximity::OtherRegion, Now);
-  if (!Far.Server_)
-    return {};
-  bool FarInTime = Now + Far.Finish_ <= Request.ObjectiveAt_;
-  if (FarInTime || Wait > Far.Server_->getConfig().RoundTrip_ + Work)
-    return Far;
-  return {};
-}
-
 bool ServiceBalancer::hasServer(const WaitingRequest &Request) const {
   return std::any_of(Usable_.begin(), Usable_.end(),
                      [&Request](const ServerState *Server) {
@@ -213,19 +192,18 @@
 }
 
 std::optional<RefuseRequest>
-ServiceBalancer::refuse(const WaitingRequest &Request, const Backlog &Ahead,
+ServiceBalancer::refuse(const WaitingRequest &Request, const Candidate &Best,
                         Time Now) const {
   RefuseRequest Result{Request.Flow_, RefusalCause::NoServer, MinRetryAfter,
                        static_cast<unsigned>(Waiting_.size())};
   if (!hasServer(Request))
     return Result;
   Result.Cause_ = RefusalCause::NoRoom;
-  Duration Work = getWork(Request);
-  Duration Wait = getWait(Ahead, Work);
-  Result.RetryAfter_ = std::clamp(Wait, MinRetryAfter, MaxRetryAfter);
-  if (Now + Work >= Request.Deadline_)
+  Duration Finish = Best.Server_ ? Best.Finish_ : getWork(Request).Warm_;
+  Result.RetryAfter_ = std::clamp(Best.Wait_, MinRetryAfter, MaxRetryAfter);
+  if (Now + Finish >= Request.Deadline_)
     return Result;
-  bool InTime = Now + Wait + Work <= Request.ObjectiveAt_;
+  bool InTime = Now + Finish <= Request.ObjectiveAt_;
   Duration Span = Request.ObjectiveAt_ - Request.Arrived_;
   if (!InTime && Now - Request.Arrived_ > scale(Span, LateHoldShare))
     return Result;
@@ -254,19 +232,20 @@
   if (Waiting_.empty())
     return Out;
   sortWaiting(Now);
-  Backlog Ahead = makeBacklog();
+  Plan Planned;
   std::vector<WaitingRequest> Kept;
   for (WaitingRequest &Request : Waiting_) {
-    if (Candidate Where = choose(Request, Ahead, Now); Where.Server_) {
-      start(Request, Where, Now, Out);
+    Candidate Best = choose(Request, Planned, Now);
+    if (Best.Server_ && Best.Wait_ == Duration(0)) {
+      start(Request, Best, Now, Out);
       continue;
     }
-    if (std::optional<RefuseRequest> Refusal = refuse(Request, Ahead, Now)) {
+    if (std::optional<RefuseRequest> Refusal = refuse(Request, Best, Now)) {
       Out.push_back(*Refusal);
       continue;
     }
-    Ahead.AheadWork_ += getWork(Request);
-    ++Ahead.Count_;
+    if (Best.Server_)
+      ++Planned[Best.Server_];
     Kept.push_back(std::move(Request));
   }
   Waiting_ = std::move(Kept);
--- a/src/request/service_balancer_base.h
+++ b/src/request/service_balancer_base.h
@@ -52,32 +52,27 @@
   using ServerMap =
       absl::flat_hash_map<std::string, std::unique_ptr<ServerState>>;
 
-  /// A server and what it would cost a request to go there.
+  /// A server that is considered for a request, and what it would cost.
   struct Candidate {
     ServerState *Server_ = nullptr; ///< Server, or null.
+    Duration Wait_{0};              ///< Until it has a free slot.
     Duration Finish_{0};            ///< Predicted time until the answer.
     Duration Cost_{0};              ///< Finish_ and what else counts.
   };
 
-  /// Slots near this VM and the work that waits for them.
-  struct Backlog {
-    double Slots_ = 0;      ///< Slots of the zone, less others' use.
-    Duration AheadWork_{0}; ///< Work of requests that wait before.
-    unsigned Count_ = 0;    ///< Requests that wait before.
-  };
+  /// Requests that wait on this VM, by the server that they wait for.
+  using Plan = absl::flat_hash_map<const ServerState *, unsigned>;
 
-  Duration getWork(const WaitingRequest &Request) const;
+  WorkEstimate getWork(const WaitingRequest &Request) const;
   double getRank(const WaitingRequest &Request, Time Now) const;
   void sortWaiting(Time Now);
-  Backlog makeBacklog() const;
-  static Duration getWait(const Backlog &Ahead, Duration Work);
-  Candidate pick(const WaitingRequest &Request, Proximity Farthest,
-                 Time Now) const;
-  Candidate choose(const WaitingRequest &Request, const Backlog &Ahead,
+  Candidate rate(const WaitingRequest &Request, ServerState &Server,
+                 const WorkEstimate &Work, unsigned Planned, Time Now) const;
+  Candidate choose(const WaitingRequest &Request, const Plan &Planned,
                    Time Now) const;
   bool hasServer(const WaitingRequest &Request) const;
   std::optional<RefuseRequest> refuse(const WaitingRequest &Request,
-                                      const Backlog &Ahead, Time Now) const;
+                                      const Candidate &Best, Time Now) const;
   void start(const WaitingRequest &Request, const Candidate &Where, Time Now,
              std::vector<BalancerAction> &Out);
   void findSilent(Time Now, std::vector<BalancerAction> &Out);
--- a/src/request/work_history_base.h
+++ b/src/request/work_history_base.h
@@ -2,44 +2,67 @@
 #ifndef CRANBERRY_REQUEST_WORK_HISTORY_BASE_H
 #define CRANBERRY_REQUEST_WORK_HISTORY_BASE_H
 
-#include "core/time_type.h"
+#include "core/duration_func.h"
+#include "request/warm_set_base.h"
 
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 
 namespace cranberry {
 
-/// Typical time at a server, by route. It follows the median, which stragglers
-/// do not move.
+/// Typical times of a route's requests at a server.
+struct WorkEstimate {
+  Duration Warm_{0}; ///< Its object is warm there.
+  Duration Cold_{0}; ///< It is not.
+
+  Duration get(Warmth State) const {
+    return State == Warmth::Warm ? Warm_ : Cold_;
+  }
+
+  /// \return Whether a time is that of a warm object, if the two differ.
+  bool isFast(Duration Ran) const {
+    return Ran.count() < std::sqrt(static_cast<double>(Warm_.count()) *
+                                   static_cast<double>(Cold_.count()));
+  }
+};
+
+/// Learns the times by route. It follows medians, which stragglers do not move.
 class WorkHistory {
 public:
   /// \param Objective Latency objective; the first estimate is a part of it.
-  Duration getEstimate(uint64_t Route, Duration Objective) const {
-    auto Found = Median_.find(Route);
-    constexpr double FirstShare = 0.6;
-    return Found != Median_.end()
-               ? Found->second
-               : std::chrono::duration_cast<Duration>(Objective * FirstShare);
+  WorkEstimate getEstimate(uint64_t Route, Duration Objective) const {
+    auto Found = ByRoute_.find(Route);
+    if (Found != ByRoute_.end())
+      return Found->second;
+    constexpr double FirstCold = 0.6;
+    constexpr double FirstWarm = 0.4;
+    return {scale(Objective, FirstWarm), scale(Objective, FirstCold)};
   }
 
-  /// A server took \p Ran, way there and back left out.
-  void note(uint64_t Route, Duration Ran, Duration Objective) {
-    Duration &Median =
-        Median_.try_emplace(Route, getEstimate(Route, Objective)).first->second;
+  /// A server took \p Ran, way there and back left out, for a request whose
+  /// object was thought to be in \p State.
+  void note(uint64_t Route, Warmth State, Duration Ran, Duration Objective) {
+    if (State == Warmth::Evicted)
+      return; // Tells neither of the two.
+    WorkEstimate &Known =
+        ByRoute_.try_emplace(Route, getEstimate(Route, Objective))
+            .first->second;
+    Duration &Median = State == Warmth::Warm ? Known.Warm_ : Known.Cold_;
     Duration Step = std::max(Median / StepShare, MinStep);
     Median += Ran > Median ? Step : -Step;
     Median = std::max(Median, MinStep);
+    Known.Warm_ = std::min(Known.Warm_, Known.Cold_);
   }
 
 private:
-  /// A single value moves the estimate by a 32nd, so that twenty are needed to
-  /// double it.
-  static constexpr int StepShare = 32;
+  /// A single value moves the estimate by a 24th.
+  static constexpr int StepShare = 24;
   static constexpr Duration MinStep = milliseconds(1);
 
-  absl::flat_hash_map<uint64_t, Duration> Median_; ///< By route.
+  absl::flat_hash_map<uint64_t, WorkEstimate> ByRoute_; ///< By route.
 };
 
 } // namespace cranberry
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -456,8 +456,10 @@
 
 bool RequestRouter::tryRepeat(Flow &Open, AttemptOutcome Outcome) {
   Time Now = getNow();
-  Duration Work = Open.Pool_->Balancer_.getHistory().getEstimate(
-      Open.Request_.Route_, Open.Route_->Objective_);
+  Duration Work = Open.Pool_->Balancer_.getHistory()
+                      .getEstimate(Open.Request_.Route_,
+                                   Open.Route_->Objective_)
+                      .Warm_;
   if (Open.Request_.Deadline_ - Now < scale(Work, RepeatTimeShare))
     return false;
   if (Outcome == AttemptOutcome::NotSent) {
