Feature: [Request] Objects have homes, the same on all VMs; Fix: [Net] A late connect timer

Cause: several VMs share a zone's servers; each scattered an object over them, so few requests found it warm (grown sites: work of 900 ms cold against 225 ms). Change: each zone has three homes for an object in a fixed order, by rendezvous hash; further ones cost the room that a copy takes; lengths of work are learnt as two medians.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -64,7 +64,9 @@
   Opened_ = getNow();
   ConnectTimer_.expires_after(Spec_.ConnectTimeout_);
   ConnectTimer_.async_wait([Self](error_code Cancelled) {
-    if (!Cancelled && !Self->IsClosed_)
+    // The timer may have expired before the cancel that comes with success:
+    // by then the request is on its way.
+    if (!Cancelled && !Self->IsClosed_ && !Self->IsConnected_)
       Self->finish(AttemptEnd::ConnectFailed);
   });
   Socket_.async_connect(Server, [Self](error_code Error) {
@@ -75,6 +77,7 @@
       Self->finish(AttemptEnd::ConnectReset);
       return;
     }
+    Self->IsConnected_ = true;
     Self->Connect_ = getNow() - Self->Opened_;
     error_code Ignored; // These options only save time.
     Self->Socket_.set_option(tcp::no_delay(true), Ignored);
--- a/src/net/server_connection_base.h
+++ b/src/net/server_connection_base.h
@@ -61,6 +61,7 @@
   std::optional<Duration> Connect_;        ///< Time it took; told once.
   Time IdleSince_;                         ///< End of the last response.
   Time IdleLimit_;                         ///< See getIdleLimit().
+  bool IsConnected_ = false;               ///< Requests can be sent.
   bool WasUsed_ = false;                   ///< Carried a request before.
   bool IsWriting_ = false;                 ///< A write is outstanding.
   bool IsReusable_ = false;                ///< Idle and in a known state.
--- a/src/request/balanced_server.cpp
+++ b/src/request/balanced_server.cpp
@@ -60,9 +60,9 @@
   Config_.ColdUntil_ = std::max(Config_.ColdUntil_, Until);
 }
 
-void ServerState::start(FlowIndex Flow, uint64_t Key, Duration Expected,
-                        Time Now) {
-  Attempts_.push_back({Flow, Now, Expected, Warm_.get(Key)});
+void ServerState::start(FlowIndex Flow, uint64_t Key, unsigned HomeRank,
+                        Duration Expected, Time Now) {
+  Attempts_.push_back({Flow, Now, Expected, Key, HomeRank, Warm_.get(Key)});
   Warm_.touch(Key);
   ColdGate_.noteStart(Now);
 }
@@ -78,7 +78,7 @@
   MeanWork_ += scale(AtServer - MeanWork_, MeanGain);
   Duration Usual = scale(AtServer, 1 / std::max(1.0, Interference_));
   Warm_.learn(Done.Before_, Work.isFast(Usual));
-  return {Done.Before_, Usual};
+  return {Usual, Done.Key_, Done.HomeRank_, Done.Before_};
 }
 
 std::optional<WorkSample> ServerState::end(const EndedAttempt &Ended,
--- a/src/request/balanced_server_base.h
+++ b/src/request/balanced_server_base.h
@@ -13,8 +13,10 @@
 
 /// What an attempt told of the length of work.
 struct WorkSample {
-  Warmth Before_ = Warmth::Unknown; ///< Thought of its object when it was sent.
-  Duration Ran_{0};                 ///< Time at the server.
+  Duration Ran_{0};       ///< Time at the server, interference left out.
+  uint64_t Key_ = 0;      ///< Hash of its object; 0 for none.
+  unsigned HomeRank_ = 0; ///< Server's rank among the object's in its zone.
+  Warmth Before_ = Warmth::Unknown; ///< Of the object when it was sent.
 };
 
 /// Load, speed and health of one server, from this VM's own attempts and the
@@ -29,8 +31,10 @@
   const BalancedServer &getConfig() const { return Config_; }
 
   /// An attempt was sent.
+  /// \param HomeRank Server's rank among the object's in its zone.
   /// \param Expected Predicted time until its answer.
-  void start(FlowIndex Flow, uint64_t Key, Duration Expected, Time Now);
+  void start(FlowIndex Flow, uint64_t Key, unsigned HomeRank,
+             Duration Expected, Time Now);
 
   /// An attempt ended.
   /// \param Work Typical times of such a request.
@@ -78,6 +82,8 @@
     FlowIndex Flow_;         ///< Client's request.
     Time Started_;           ///< When it was sent.
     Duration Expected_;      ///< Predicted time until the answer.
+    uint64_t Key_;           ///< Hash of its object.
+    unsigned HomeRank_;      ///< See WorkSample.
     Warmth Before_;          ///< Of its object when it was sent.
     bool IsReported_ = false; ///< By takeSuspects().
   };
--- a/src/request/balancer_type.h
+++ b/src/request/balancer_type.h
@@ -28,6 +28,7 @@
 /// A backend server that may be given work.
 struct BalancedServer {
   std::string Id_;        ///< Instance.
+  std::string Zone_;      ///< Availability zone.
   std::string Region_;    ///< Region.
   Proximity Proximity_ = Proximity::SameZone; ///< Where it is.
   Duration RoundTrip_{0}; ///< Way there and back.
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -4,6 +4,7 @@
 #include "core/duration_func.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace cranberry {
@@ -14,6 +15,17 @@
 /// the share of the time saved by warmth that this costs later.
 constexpr double EvictionShare = 0.7;
 
+/// An object's further homes in a zone are used when the first has a long
+/// wait; each copy takes room, which costs this share of the time saved.
+constexpr double CopyShare = 0.4;
+constexpr unsigned HomesPerZone = 3;
+
+/// Weight of a new value in the share of warm objects.
+constexpr double HitGain = 0.02;
+
+/// Objects whose homes are remembered.
+constexpr size_t MaxHomes = 4096;
+
 /// A cold server's work takes about this many times as long.
 constexpr double ColdServerFactor = 2;
 
@@ -66,6 +78,8 @@
   (void)Now;
   std::set<std::string> Listed;
   Usable_.clear();
+  Homes_.clear();
+  AllServers_.clear();
   for (const BalancedServer &Server : Servers) {
     Listed.insert(Server.Id_);
     std::unique_ptr<ServerState> &State = Servers_[Server.Id_];
@@ -74,6 +88,7 @@
     else
       State = std::make_unique<ServerState>(Server);
     Usable_.push_back(State.get());
+    AllServers_.push_back({State.get(), 0});
   }
   absl::erase_if(Servers_, [&](const auto &Entry) {
     return !Listed.count(Entry.first) && Entry.second->getInFlight() == 0;
@@ -96,9 +111,14 @@
     return;
   WorkEstimate Work = History_.getEstimate(Ended.Route_, Ended.Objective_);
   std::optional<WorkSample> Sample = Found->second->end(Ended, Work, Now);
-  if (Sample)
-    History_.note(Ended.Route_, Sample->Before_, Sample->Ran_,
-                  Ended.Objective_);
+  if (!Sample)
+    return;
+  if (Sample->Key_ != 0 && Sample->HomeRank_ == 0 &&
+      Sample->Before_ == Warmth::Unknown)
+    FirstHomeHits_ +=
+        ((Work.isFast(Sample->Ran_) ? 1 : 0) - FirstHomeHits_) * HitGain;
+  History_.note(Ended.Route_, Sample->Ran_, Sample->Key_ != 0,
+                Ended.Objective_);
 }
 
 void ServiceBalancer::noteCold(const std::string &Server, Time Until) {
@@ -114,7 +134,7 @@
 
 double ServiceBalancer::getRank(const WaitingRequest &Request,
                                 Time Now) const {
-  Duration Work = getWork(Request).Warm_;
+  Duration Work = getWork(Request).Fast_;
   bool InTime = Now + Work <= Request.ObjectiveAt_;
   double Worth = Request.Weight_ * (InTime ? 1 : LateShare);
   return Worth * Request.Weight_ / std::chrono::duration<double>(Work).count();
@@ -136,47 +156,83 @@
   Waiting_ = std::move(Sorted);
 }
 
+const ServiceBalancer::HomeList &ServiceBalancer::getHomes(uint64_t Key) {
+  if (Key == 0)
+    return AllServers_;
+  if (Homes_.size() > MaxHomes)
+    Homes_.clear();
+  auto [Found, IsNew] = Homes_.try_emplace(Key);
+  HomeList &Homes = Found->second;
+  if (!IsNew)
+    return Homes;
+  std::map<std::string, std::vector<std::pair<double, ServerState *>>> Zones;
+  for (ServerState *Server : Usable_)
+    Zones[Server->getConfig().Zone_].emplace_back(
+        getPreference(Key, Server->getConfig().Id_), Server);
+  for (auto &[Zone, Servers] : Zones) {
+    std::sort(Servers.begin(), Servers.end(),
+              [](const auto &A, const auto &B) { return A.first > B.first; });
+    for (unsigned I = 0; I < Servers.size() && I < HomesPerZone; ++I)
+      Homes.push_back({Servers[I].second, I});
+  }
+  return Homes;
+}
+
+double ServiceBalancer::getWarmChance(const Home &Where, uint64_t Key) const {
+  if (Key == 0)
+    return 0;
+  switch (Where.Server_->getWarmth(Key)) {
+  case Warmth::Warm:
+    return 1;
+  case Warmth::Evicted:
+    return 0;
+  case Warmth::Unknown:
+    return Where.Rank_ == 0 ? FirstHomeHits_ : 0;
+  }
+  return 0;
+}
+
 ServiceBalancer::Candidate
-ServiceBalancer::rate(const WaitingRequest &Request, ServerState &Server,
+ServiceBalancer::rate(const WaitingRequest &Request, const Home &Where,
                       const WorkEstimate &Work, unsigned Planned,
                       Time Now) const {
+  ServerState &Server = *Where.Server_;
   const BalancedServer &Config = Server.getConfig();
-  Warmth State = Server.getWarmth(Request.Key_);
   double Factor = Server.getSlowness(Now);
   if (Server.isCold(Now))
     Factor *= ColdServerFactor;
+  double Chance = getWarmChance(Where, Request.Key_);
   Candidate Result;
   Result.Server_ = &Server;
+  Result.HomeRank_ = Where.Rank_;
   Result.Wait_ = Server.getWait(Planned, Now);
   Result.Finish_ =
-      Result.Wait_ + Config.RoundTrip_ + scale(Work.get(State), Factor);
+      Result.Wait_ + Config.RoundTrip_ + scale(Work.get(Chance), Factor);
   Result.Cost_ = Result.Finish_;
   if (Config.Proximity_ == Proximity::SameRegion)
     Result.Cost_ += RegionCost;
   if (Config.Proximity_ == Proximity::OtherRegion)
     Result.Cost_ += FarCost;
-  if (State == Warmth::Warm)
+  if (Request.Key_ == 0 || Chance >= 1)
     return Result;
-  if (Request.Key_ != 0 && Server.isWarmSetFull())
-    Result.Cost_ += scale(Work.Cold_ - Work.Warm_, EvictionShare);
-  // All VMs prefer the same servers for an object, so that few keep it.
-  constexpr double PreferenceShare = 0.3;
-  Result.Cost_ -=
-      scale(Work.Cold_,
-            PreferenceShare * getPreference(Request.Key_, Config.Id_));
+  Duration Saved = Work.Slow_ - Work.Fast_;
+  if (Server.isWarmSetFull())
+    Result.Cost_ += scale(Saved, EvictionShare);
+  Result.Cost_ += scale(Saved, CopyShare * Where.Rank_);
   return Result;
 }
 
 ServiceBalancer::Candidate
 ServiceBalancer::choose(const WaitingRequest &Request, const Plan &Planned,
-                        Time Now) const {
+                        Time Now) {
   WorkEstimate Work = getWork(Request);
   Candidate Best;
-  for (ServerState *Server : Usable_) {
+  for (const Home &Where : getHomes(Request.Key_)) {
+    ServerState *Server = Where.Server_;
     if (!mayUse(Request, Server->getConfig()) || !Server->isAvailable(Now))
       continue;
     auto Found = Planned.find(Server);
-    Candidate Next = rate(Request, *Server, Work,
+    Candidate Next = rate(Request, Where, Work,
                           Found == Planned.end() ? 0 : Found->second, Now);
     if (!Best.Server_ || Next.Cost_ < Best.Cost_)
       Best = Next;
@@ -199,7 +255,7 @@
   if (!hasServer(Request))
     return Result;
   Result.Cause_ = RefusalCause::NoRoom;
-  Duration Finish = Best.Server_ ? Best.Finish_ : getWork(Request).Warm_;
+  Duration Finish = Best.Server_ ? Best.Finish_ : getWork(Request).Fast_;
   Result.RetryAfter_ = std::clamp(Best.Wait_, MinRetryAfter, MaxRetryAfter);
   if (Now + Finish >= Request.Deadline_)
     return Result;
@@ -217,7 +273,8 @@
   Out.push_back(StartAttempt{Request.Flow_, Config.Id_, Config.Proximity_,
                              static_cast<unsigned>(Waiting_.size()),
                              Where.Server_->getBusy(Now), Where.Finish_});
-  Where.Server_->start(Request.Flow_, Request.Key_, Where.Finish_, Now);
+  Where.Server_->start(Request.Flow_, Request.Key_, Where.HomeRank_,
+                       Where.Finish_, Now);
 }
 
 void ServiceBalancer::findSilent(Time Now, std::vector<BalancerAction> &Out) {
--- a/src/request/service_balancer_base.h
+++ b/src/request/service_balancer_base.h
@@ -58,18 +58,29 @@
     Duration Wait_{0};              ///< Until it has a free slot.
     Duration Finish_{0};            ///< Predicted time until the answer.
     Duration Cost_{0};              ///< Finish_ and what else counts.
+    unsigned HomeRank_ = 0;         ///< See Home.
   };
 
+  /// A server that an object may be kept at. Each object has a few in each
+  /// zone, the same on all VMs, so that its requests find it warm.
+  struct Home {
+    ServerState *Server_ = nullptr; ///< Server.
+    unsigned Rank_ = 0;             ///< 0 for the first in its zone.
+  };
+  using HomeList = std::vector<Home>;
+
   /// Requests that wait on this VM, by the server that they wait for.
   using Plan = absl::flat_hash_map<const ServerState *, unsigned>;
 
   WorkEstimate getWork(const WaitingRequest &Request) const;
   double getRank(const WaitingRequest &Request, Time Now) const;
   void sortWaiting(Time Now);
-  Candidate rate(const WaitingRequest &Request, ServerState &Server,
+  const HomeList &getHomes(uint64_t Key);
+  double getWarmChance(const Home &Where, uint64_t Key) const;
+  Candidate rate(const WaitingRequest &Request, const Home &Where,
                  const WorkEstimate &Work, unsigned Planned, Time Now) const;
   Candidate choose(const WaitingRequest &Request, const Plan &Planned,
-                   Time Now) const;
+                   Time Now);
   bool hasServer(const WaitingRequest &Request) const;
   std::optional<RefuseRequest> refuse(const WaitingRequest &Request,
                                       const Candidate &Best, Time Now) const;
@@ -79,6 +90,11 @@
 
   ServerMap Servers_;                   ///< By instance.
   std::vector<ServerState *> Usable_;   ///< Those that may be given work.
+  absl::flat_hash_map<uint64_t, HomeList> Homes_; ///< By object, until the
+                                                  ///< servers change.
+  HomeList AllServers_;                 ///< For requests without an object.
+  double FirstHomeHits_ = 0.5; ///< Share of objects not sent from here that a
+                               ///< first home had warm.
   std::vector<WaitingRequest> Waiting_; ///< Not placed.
   WorkHistory History_;                 ///< Lengths of work by route.
 };
--- a/src/request/work_history_base.h
+++ b/src/request/work_history_base.h
@@ -3,7 +3,6 @@
 #define CRANBERRY_REQUEST_WORK_HISTORY_BASE_H
 
 #include "core/duration_func.h"
-#include "request/warm_set_base.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -15,46 +14,47 @@
 
 /// Typical times of a route's requests at a server.
 struct WorkEstimate {
-  Duration Warm_{0}; ///< Its object is warm there.
-  Duration Cold_{0}; ///< It is not.
+  Duration Fast_{0}; ///< Its object is warm there.
+  Duration Slow_{0}; ///< It is not.
 
-  Duration get(Warmth State) const {
-    return State == Warmth::Warm ? Warm_ : Cold_;
+  /// \return Which of the two a time is closer to.
+  bool isFast(Duration Ran) const {
+    return static_cast<double>(Ran.count()) <
+           std::sqrt(static_cast<double>(Fast_.count()) *
+                     static_cast<double>(Slow_.count()));
   }
 
-  /// \return Whether a time is that of a warm object, if the two differ.
-  bool isFast(Duration Ran) const {
-    return Ran.count() < std::sqrt(static_cast<double>(Warm_.count()) *
-                                   static_cast<double>(Cold_.count()));
+  /// \return Expected time if the object is warm with \p Chance.
+  Duration get(double Chance) const {
+    return Slow_ - scale(Slow_ - Fast_, Chance);
   }
 };
 
-/// Learns the times by route. It follows medians, which stragglers do not move.
+/// Learns the times by route. Each value moves the median that it is closer to,
+/// which stragglers hardly shift.
 class WorkHistory {
 public:
-  /// \param Objective Latency objective; the first estimate is a part of it.
+  /// \param Objective Latency objective; the first estimates are parts of it.
   WorkEstimate getEstimate(uint64_t Route, Duration Objective) const {
     auto Found = ByRoute_.find(Route);
     if (Found != ByRoute_.end())
       return Found->second;
-    constexpr double FirstCold = 0.6;
-    constexpr double FirstWarm = 0.4;
-    return {scale(Objective, FirstWarm), scale(Objective, FirstCold)};
+    constexpr double FirstFast = 0.35;
+    return {scale(Objective, FirstFast), Objective};
   }
 
-  /// A server took \p Ran, way there and back left out, for a request whose
-  /// object was thought to be in \p State.
-  void note(uint64_t Route, Warmth State, Duration Ran, Duration Objective) {
-    if (State == Warmth::Evicted)
-      return; // Tells neither of the two.
+  /// A server took \p Ran, way there and back left out.
+  /// \param HasObject Whether warmth matters; otherwise both times are one.
+  void note(uint64_t Route, Duration Ran, bool HasObject, Duration Objective) {
     WorkEstimate &Known =
         ByRoute_.try_emplace(Route, getEstimate(Route, Objective))
             .first->second;
-    Duration &Median = State == Warmth::Warm ? Known.Warm_ : Known.Cold_;
+    Duration &Median = Known.isFast(Ran) ? Known.Fast_ : Known.Slow_;
     Duration Step = std::max(Median / StepShare, MinStep);
     Median += Ran > Median ? Step : -Step;
     Median = std::max(Median, MinStep);
-    Known.Warm_ = std::min(Known.Warm_, Known.Cold_);
+    if (!HasObject)
+      Known.Fast_ = Known.Slow_ = Median;
   }
 
 private:
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -131,6 +131,7 @@
   const ServerRecord &Record = Server.Record_;
   BalancedServer Result;
   Result.Id_ = Record.Id_;
+  Result.Zone_ = Record.Zone_;
   Result.Region_ = getRegion(Record.Zone_);
   Result.Proximity_ = getProximity(Record.Zone_);
   Result.RoundTrip_ = getRoundTrip(Result.Proximity_, Result.Region_);
@@ -459,7 +460,7 @@
   Duration Work = Open.Pool_->Balancer_.getHistory()
                       .getEstimate(Open.Request_.Route_,
                                    Open.Route_->Objective_)
-                      .Warm_;
+                      .Fast_;
   if (Open.Request_.Deadline_ - Now < scale(Work, RepeatTimeShare))
     return false;
   if (Outcome == AttemptOutcome::NotSent) {
