Feature: [Request] Ramp of moves to other regions

Change: the share of requests that leave the region may grow by 0.93 of the bound in a window; it is lifted for 4 s after a failure (a server's entry goes unannounced, a connection fails, an entry VM is lost, a zone is evacuated).

--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -41,6 +41,8 @@
   double RepeatRatio_ = 0.1;        ///< Repeats for each request.
   double RepeatSlack_ = 0;          ///< Repeats beside the ratio, of all VMs.
   Duration RepeatWindow_ = seconds(10); ///< Window of both.
+  double MaxRegionShift_ = 1;  ///< Most of a region's requests that may change
+                               ///< the region where they run within 2 s.
   double ColdBurstFactor_ = 1; ///< Times the rate that a cold server bears.
 };
 
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -226,17 +226,25 @@
 ServiceBalancer::choose(const WaitingRequest &Request, const Plan &Planned,
                         Time Now) {
   WorkEstimate Work = getWork(Request);
+  bool MayLeave = Gate_.mayLeave(Now);
   Candidate Best;
+  Candidate BestFar;
   for (const Home &Where : getHomes(Request.Key_)) {
     ServerState *Server = Where.Server_;
     if (!mayUse(Request, Server->getConfig()) || !Server->isAvailable(Now))
       continue;
+    bool IsFar = Server->getConfig().Proximity_ == Proximity::OtherRegion;
     auto Found = Planned.find(Server);
     Candidate Next = rate(Request, Where, Work,
                           Found == Planned.end() ? 0 : Found->second, Now);
-    if (!Best.Server_ || Next.Cost_ < Best.Cost_)
-      Best = Next;
+    Candidate &Known = IsFar ? BestFar : Best;
+    if (!Known.Server_ || Next.Cost_ < Known.Cost_)
+      Known = Next;
   }
+  // A region without servers of its own has no choice.
+  if (!Best.Server_ ||
+      (MayLeave && BestFar.Server_ && BestFar.Cost_ < Best.Cost_))
+    return BestFar;
   return Best;
 }
 
@@ -273,6 +281,7 @@
   Out.push_back(StartAttempt{Request.Flow_, Config.Id_, Config.Proximity_,
                              static_cast<unsigned>(Waiting_.size()),
                              Where.Server_->getBusy(Now), Where.Finish_});
+  Gate_.noteStart(Config.Proximity_ == Proximity::OtherRegion, Now);
   Where.Server_->start(Request.Flow_, Request.Key_, Where.HomeRank_,
                        Where.Finish_, Now);
 }
--- a/src/request/service_balancer_base.h
+++ b/src/request/service_balancer_base.h
@@ -4,6 +4,7 @@
 
 #include "request/balanced_server_base.h"
 #include "request/balancer_type.h"
+#include "request/shift_gate_base.h"
 #include "request/work_history_base.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -20,6 +21,9 @@
 /// slot goes to the request that earns most by it. All times are passed in.
 class ServiceBalancer {
 public:
+  /// \param Gate Shared by all services; outlives this.
+  explicit ServiceBalancer(ShiftGate &Gate) : Gate_(Gate) {}
+
   /// Takes over the servers that may be used. Attempts at others go on.
   void setServers(const std::vector<BalancedServer> &Servers, Time Now);
 
@@ -88,6 +92,7 @@
              std::vector<BalancerAction> &Out);
   void findSilent(Time Now, std::vector<BalancerAction> &Out);
 
+  ShiftGate &Gate_;                     ///< Bounds moves to other regions.
   ServerMap Servers_;                   ///< By instance.
   std::vector<ServerState *> Usable_;   ///< Those that may be given work.
   absl::flat_hash_map<uint64_t, HomeList> Homes_; ///< By object, until the
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -44,6 +44,10 @@
 /// A connection that took long says little; one that was fast is the way.
 constexpr double RoundTripGain = 0.05;
 
+/// Share of the bound on moves between regions that one VM uses; the rest is
+/// for chance, as each sees a part of the region's requests.
+constexpr double ShiftShare = 0.93;
+
 /// A repeat is made if this share of the expected time is left.
 constexpr double RepeatTimeShare = 0.8;
 
@@ -71,12 +75,13 @@
 
 RequestRouter::RequestRouter(boost::asio::io_context &Loop,
                              const Settings &Settings, EventLog &Log)
-    : Loop_(Loop), Settings_(Settings), Log_(Log), Connections_(Loop) {}
+    : Loop_(Loop), Settings_(Settings), Log_(Log), Connections_(Loop),
+      Gate_(ShiftShare * Settings.MaxRegionShift_) {}
 
 RequestRouter::ServicePool &RequestRouter::getPool(const std::string &Service) {
   std::unique_ptr<ServicePool> &Pool = Pools_[Service];
   if (!Pool) {
-    Pool = std::make_unique<ServicePool>();
+    Pool = std::make_unique<ServicePool>(Gate_);
     Pool->Name_ = Service;
     Pool->Wake_ = std::make_unique<boost::asio::steady_timer>(Loop_);
   }
@@ -415,6 +420,9 @@
     noteConnect(Server->second, *Result.Connect_);
   if (Outcome == AttemptOutcome::Deliver)
     return;
+  if (Outcome == AttemptOutcome::NotSent ||
+      Result.End_ == AttemptEnd::Broken)
+    Gate_.noteFailure(Now);
   Log_.write(
       Now, "attempt",
       {{"request", Open.Id_},
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -59,6 +59,9 @@
     OnMisdirected_ = std::move(Action);
   }
 
+  /// Something failed that requests may have to move away from.
+  void noteFailure() { Gate_.noteFailure(getNow()); }
+
   /// The process ends then: what could last longer is refused at once.
   void setEnd(Time End) { End_ = End; }
 
@@ -72,6 +75,8 @@
 private:
   /// A service's decisions and what is needed to carry them out.
   struct ServicePool {
+    explicit ServicePool(ShiftGate &Gate) : Balancer_(Gate) {}
+
     std::string Name_;         ///< Service.
     ServiceBalancer Balancer_; ///< Decides.
     RepeatBudget Budget_;      ///< Bounds repeats.
@@ -144,6 +149,7 @@
   const Settings &Settings_;    ///< Settings.
   EventLog &Log_;                       ///< Log.
   ConnectionPool Connections_;          ///< To servers.
+  ShiftGate Gate_;                      ///< Bounds moves between regions.
   RoutingConfigPtr Config_;             ///< In force; null before the first.
   RouteTable Routes_;                   ///< Its routes.
   std::map<std::string, std::unique_ptr<ServicePool>> Pools_; ///< By service.
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -50,7 +50,7 @@
     : Settings_(std::move(Config)), Loop_(1), Log_(STDOUT_FILENO, Settings_.Vm_),
       Store_(Loop_, Settings_.Platform_), Router_(Loop_, Settings_, Log_),
       Peers_(Loop_, makeSelf(Incarnation), Settings_.HeartbeatPeriod_, Log_,
-             [this] { MembersChanged_ = true; }),
+             [this] { takeMembers(); }),
       Front_(Loop_, [this](const IngressExchangePtr &E) { Router_.handle(E); }),
       Readiness_(Loop_,
                  [this](const IngressExchangePtr &E) { answerReadiness(E); }),
@@ -221,7 +221,8 @@
       Change.IsRemoved_ = true;
   }
   uint64_t Before = Registry_.getVersion();
-  Registry_.apply(Change, getNow());
+  if (Registry_.apply(Change, getNow()) == RegistryEffect::Lost)
+    Router_.noteFailure();
   if (Registry_.getVersion() == Before)
     return;
   Log_.write(getNow(), "server",
@@ -252,9 +253,19 @@
              {{"zones", Zones},
               {"revision", EvacuationFollower_.getRevision()}});
   Registry_.setEvacuated(Evacuated_, getColdDuration(), getNow());
+  if (!Evacuated_.empty())
+    Router_.noteFailure();
   refresh();
 }
 
+void SteeringVm::takeMembers() {
+  MembersChanged_ = true;
+  MemberList Members = Peers_.getMembers();
+  if (Members.size() < MemberCount_)
+    Router_.noteFailure();
+  MemberCount_ = Members.size();
+}
+
 void SteeringVm::takeVm(const StoreObject &Object) {
   if (!Object.Body_.is_object())
     return;
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -43,6 +43,7 @@
   void takeConfig(const platform::StoreObject &Object);
   void takeServer(const platform::StoreObject &Object, bool IsRemoved);
   void takeEvacuations();
+  void takeMembers();
   void takeVm(const platform::StoreObject &Object);
   void announce();
   void refresh();
@@ -77,6 +78,7 @@
   boost::asio::steady_timer Announce_; ///< Next try to announce this VM.
   boost::asio::signal_set Signals_;  ///< Stop and reload.
   uint64_t RegistryVersion_ = 0;     ///< Last one that the router got.
+  size_t MemberCount_ = 0;           ///< Entry VMs at the last change.
   bool MembersChanged_ = true;       ///< Since the router got them.
   bool IsStopping_ = false;          ///< A planned stop has begun.
   Time StopBy_;                      ///< End of the planned stop.
--- a/src/version/server_registry.cpp
+++ b/src/version/server_registry.cpp
@@ -18,14 +18,18 @@
   });
 }
 
-void ServerRegistry::apply(const ServerChange &Change, Time Now) {
+RegistryEffect ServerRegistry::apply(const ServerChange &Change, Time Now) {
   if (!Change.IsRemoved_) {
     store(Change.Record_, Now);
-    return;
+    return RegistryEffect::Expected;
   }
   auto Found = Entries_.find(Change.Record_.Id_);
-  if (Found != Entries_.end() && removeOrLapse(Found->second, Now))
+  if (Found == Entries_.end())
+    return RegistryEffect::Expected;
+  bool WasAnnounced = Found->second.Record_.IsDraining_;
+  if (removeOrLapse(Found->second, Now))
     Entries_.erase(Found);
+  return WasAnnounced ? RegistryEffect::Expected : RegistryEffect::Lost;
 }
 
 void ServerRegistry::store(const ServerRecord &Record, Time Now) {
--- a/src/version/server_registry_base.h
+++ b/src/version/server_registry_base.h
@@ -18,6 +18,12 @@
   Time ColdUntil_;      ///< End of its cold phase, as far as is known.
 };
 
+/// What a change meant.
+enum class RegistryEffect : uint8_t {
+  Expected, ///< A server came, changed, or left as it had announced.
+  Lost,     ///< A server's entry went away unannounced.
+};
+
 /// Keeps the newest record of each backend server and tells which may be used.
 ///
 /// An entry that lapses while the store is away does not prove that its server
@@ -32,7 +38,7 @@
   void replaceAll(const std::vector<ServerRecord> &Records, Time Now);
 
   /// The store told one change.
-  void apply(const ServerChange &Change, Time Now);
+  RegistryEffect apply(const ServerChange &Change, Time Now);
 
   /// The store has stopped answering, or answers again.
   void noteStoreLost();
