--- a/src/net/ingress_connection.cpp
+++ b/src/net/ingress_connection.cpp
@@ -49,6 +49,12 @@
   Connection->flush();
 }
 
+void IngressExchange::dropConnection() {
+  OnGone_ = nullptr;
+  if (std::shared_ptr<IngressConnection> Connection = Connection_.lock())
+    Connection->close();
+}
+
 IngressConnection::IngressConnection(IngressServer &Server,
                                      boost::asio::ip::tcp::socket Socket)
     : Server_(Server), Socket_(std::move(Socket)), LastActivity_(getNow()) {
--- a/src/net/ingress_server_base.h
+++ b/src/net/ingress_server_base.h
@@ -43,6 +43,9 @@
   /// do nothing. Answers leave in the order in which the requests came.
   void answer(const ResponseMessage &Response);
 
+  /// Closes the connection without an answer.
+  void dropConnection();
+
   bool isAnswered() const { return IsAnswered_; }
 
   /// \param Action Called once if the client leaves before the answer.
--- a/src/platform/decode.cpp
+++ b/src/platform/decode.cpp
@@ -45,7 +45,7 @@
 
   unsigned getCount(const char *Name) {
     const json *Value = find(Name);
-    if (Value && Value->is_number_unsigned())
+    if (Value && Value->is_number_integer() && Value->get<int64_t>() >= 0)
       return Value->get<unsigned>();
     fail(Name, "not a whole number from 0");
     return 0;
--- a/src/request/balanced_server.cpp
+++ b/src/request/balanced_server.cpp
@@ -176,7 +176,7 @@
   unsigned Overdue = 0;
   for (const Attempt &A : Attempts_) {
     Duration Age = Now - A.Started_;
-    if (LastAnswer_ < A.Started_ &&
+    if (LastAnswer_ <= A.Started_ &&
         Age > std::max(A.Expected_ * SilentFactor / 2, SilentFloor))
       Overdue += Age > A.Expected_ * SilentFactor ? 2 : 1;
   }
--- /dev/null
+++ b/standin/routed_server.cpp
@@ -0,0 +1,136 @@
+/// \file routed_server.cpp Stand-in for a backend server on the platform.
+#include "standin/routed_server_base.h"
+
+#include "net/http_message_func.h"
+#include "platform/wire_names.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <stdexcept>
+
+namespace cranberry::standin {
+
+namespace {
+
+constexpr unsigned Ok = 200;
+constexpr unsigned Misdirected = 421;
+constexpr unsigned Failed = 500;
+constexpr unsigned Unavailable = 503;
+
+std::string toString(boost::beast::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+} // namespace
+
+RoutedServer::RoutedServer(std::string Id, unsigned Slots, Duration Work,
+                           const std::string &Address)
+    : Id_(std::move(Id)), Slots_(Slots), Work_(Work) {
+  Thread_.call([&] {
+    Server_ = std::make_unique<IngressServer>(
+        Thread_.getLoop(),
+        [this](const IngressExchangePtr &Exchange) { handle(Exchange); });
+    Reason Why;
+    if (!Server_->open(Address, Why))
+      throw std::runtime_error("no port for a server: " + Why.Text_);
+    Address_ = Server_->getAddress();
+  });
+}
+
+RoutedServer::~RoutedServer() {
+  Thread_.stop();
+  Held_.clear();
+  Server_.reset();
+}
+
+nlohmann::json RoutedServer::getEntry(const std::string &Service,
+                                      const std::string &Zone,
+                                      bool IsDraining) const {
+  return {{"service", Service},
+          {"address", Address_},
+          {"zone", Zone},
+          {"version", "v1"},
+          {"slots", Slots_},
+          {"state", IsDraining ? "draining" : "ready"},
+          {"coldRemaining", "0ms"},
+          {"sequence", 1},
+          {"born", 1}};
+}
+
+void RoutedServer::setFault(AnswerFault Fault) {
+  Thread_.call([&] { Fault_ = Fault; });
+}
+
+void RoutedServer::setWork(Duration Work) {
+  Thread_.call([&] { Work_ = Work; });
+}
+
+std::vector<ServerRun> RoutedServer::getRuns() {
+  return Thread_.call([&] { return Runs_; });
+}
+
+unsigned RoutedServer::getArrivals() {
+  return Thread_.call([&] { return Arrivals_; });
+}
+
+unsigned RoutedServer::getCancelled() {
+  return Thread_.call([&] { return Cancelled_; });
+}
+
+void RoutedServer::handle(const IngressExchangePtr &Exchange) {
+  const RequestMessage &Message = Exchange->getMessage();
+  ++Arrivals_;
+  std::string Expected = toString(Message[platform::header::ExpectedInstance]);
+  bool IsOther = !Expected.empty() && Expected != Id_;
+  if (IsOther || Fault_ == AnswerFault::Refuse || Running_ >= Slots_) {
+    ResponseMessage Refusal =
+        makeResponse(IsOther ? Misdirected : Unavailable, "");
+    Refusal.set(platform::header::NotExecuted, "1");
+    Exchange->answer(Refusal);
+    return;
+  }
+  run(Exchange);
+}
+
+void RoutedServer::run(const IngressExchangePtr &Exchange) {
+  const RequestMessage &Message = Exchange->getMessage();
+  Runs_.push_back({toString(Message[platform::header::AttemptId]),
+                   toString(Message.target()), getNow()});
+  if (Fault_ == AnswerFault::Silent) {
+    Held_.push_back(Exchange);
+    return;
+  }
+  ++Running_;
+  auto Timer = std::make_shared<boost::asio::steady_timer>(Thread_.getLoop(),
+                                                           Work_);
+  Exchange->setOnGone([this, Timer] {
+    ++Cancelled_;
+    Timer->cancel();
+  });
+  Timer->async_wait(
+      [this, Timer, Exchange](boost::system::error_code Cancelled) {
+        --Running_;
+        if (!Cancelled)
+          finish(Exchange);
+      });
+}
+
+void RoutedServer::finish(const IngressExchangePtr &Exchange) {
+  const RequestMessage &Message = Exchange->getMessage();
+  if (Fault_ == AnswerFault::Lose) {
+    Exchange->dropConnection();
+    return;
+  }
+  bool IsFailure = Fault_ == AnswerFault::Fail;
+  std::string Id = toString(Message[platform::header::AttemptId]);
+  ResponseMessage Response = makeResponse(
+      IsFailure ? Failed : Ok, absl::StrCat(Id, " ", toString(Message.target())));
+  Response.set(platform::header::AttemptId, Id);
+  if (Fault_ != AnswerFault::Unsigned)
+    Response.set(platform::header::Signature, Id_);
+  Response.set(platform::header::Load,
+               absl::StrCat(Running_, ",0,", Slots_, ",100"));
+  Exchange->answer(Response);
+}
+
+} // namespace cranberry::standin
--- /dev/null
+++ b/test/unit/store_follower_test.cpp
@@ -0,0 +1,155 @@
+/// \file store_follower_test.cpp Following the store through its failures.
+#include "platform/store_client_base.h"
+#include "standin/object_store_base.h"
+#include "steering/store_follower_base.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace cranberry;
+using cranberry::standin::ObjectStore;
+using cranberry::standin::StoreMode;
+using nlohmann::json;
+
+namespace {
+
+constexpr Duration Patience = seconds(20);
+
+/// Follows one kind and keeps what it is told.
+struct Fixture {
+  Fixture()
+      : Client_(Loop_, Store_.getAddress()), Log_(-1, "vm"),
+        Follower_(Loop_, Client_, {"things", Duration(0), seconds(5)},
+                  makeHandlers(), Log_) {}
+
+  FollowHandlers makeHandlers() {
+    FollowHandlers Handlers;
+    Handlers.OnList_ = [this](const std::vector<platform::StoreObject> &All) {
+      ++Lists_;
+      Known_.clear();
+      for (const platform::StoreObject &Each : All)
+        Known_[Each.Name_] = Each.Body_;
+    };
+    Handlers.OnChange_ = [this](const platform::StoreChange &Change) {
+      if (Change.IsRemoved_)
+        Known_.erase(Change.Object_.Name_);
+      else
+        Known_[Change.Object_.Name_] = Change.Object_.Body_;
+    };
+    Handlers.OnLost_ = [this] { ++Lost_; };
+    Handlers.OnRegained_ = [this] { ++Regained_; };
+    return Handlers;
+  }
+
+  template <typename F> bool runUntil(F Condition, Duration Limit = Patience) {
+    Time End = getNow() + Limit;
+    while (!Condition() && getNow() < End) {
+      Loop_.restart();
+      Loop_.run_one_for(milliseconds(5));
+    }
+    return Condition();
+  }
+
+  bool waitFor(const std::map<std::string, json> &Expected) {
+    return runUntil([&] { return Known_ == Expected; });
+  }
+
+  ObjectStore Store_;                 ///< Stand-in.
+  boost::asio::io_context Loop_;      ///< Loop under test.
+  platform::StoreClient Client_;      ///< Client.
+  EventLog Log_;                      ///< Log.
+  std::map<std::string, json> Known_; ///< What the follower told.
+  int Lists_ = 0;                     ///< Lists told.
+  int Lost_ = 0;                      ///< Times that the store was lost.
+  int Regained_ = 0;                  ///< Times that it came back.
+  StoreFollower Follower_;            ///< Under test.
+};
+
+} // namespace
+
+TEST_CASE("follower: lists in pages, then hears of each change") {
+  Fixture F;
+  F.Store_.setPageSize(2);
+  std::map<std::string, json> Expected;
+  for (int I = 0; I < 5; ++I) {
+    F.Store_.put("things", "t" + std::to_string(I), I);
+    Expected["t" + std::to_string(I)] = I;
+  }
+  F.Store_.put("others", "x", 1);
+  F.Follower_.start();
+  CHECK(F.waitFor(Expected));
+  F.Store_.put("things", "t2", 20);
+  F.Store_.remove("things", "t4");
+  Expected["t2"] = 20;
+  Expected.erase("t4");
+  CHECK(F.waitFor(Expected));
+  CHECK(F.Lists_ == 1);
+  CHECK(F.Lost_ == 0);
+}
+
+TEST_CASE("follower: finds what changed while the store was away") {
+  for (StoreMode Mode :
+       {StoreMode::Refuse, StoreMode::Throttle, StoreMode::Silent}) {
+    Fixture F;
+    F.Store_.put("things", "a", 1);
+    F.Follower_.start();
+    REQUIRE(F.waitFor({{"a", 1}}));
+    F.Store_.setMode(Mode);
+    // A watch that waits is not cut by silence; its own limit ends it.
+    REQUIRE(F.runUntil([&] { return F.Lost_ == 1; }));
+    F.Store_.put("things", "b", 2);
+    F.Store_.setMode(StoreMode::Serve);
+    CHECK(F.waitFor({{"a", 1}, {"b", 2}}));
+    CHECK(F.Regained_ == 1);
+  }
+}
+
+TEST_CASE("follower: changes before a forgotten history are not missed") {
+  // Watches hear nothing while an object changes, then the history goes and
+  // the watches are cut. One that is resumed would wait for the next change.
+  Fixture F;
+  F.Store_.put("things", "a", 1);
+  F.Follower_.start();
+  REQUIRE(F.waitFor({{"a", 1}}));
+  F.Store_.deafenWatches();
+  F.Store_.put("things", "a", 2);
+  F.Store_.compact();
+  CHECK(F.runUntil([&] { return F.Known_["a"] == 2; }, seconds(2)));
+}
+
+TEST_CASE("store client: writes under a condition, and lost answers") {
+  Fixture F;
+  auto Call = [&F](auto Make) {
+    std::optional<platform::StoreReply> End;
+    Make([&End](platform::StoreReply Reply) { End = std::move(Reply); });
+    REQUIRE(F.runUntil([&End] { return End.has_value(); }));
+    return End->Status_;
+  };
+  using platform::StoreReplyHandler;
+  using platform::StoreStatus;
+  auto Create = [&](StoreReplyHandler End) {
+    F.Client_.create("things", "a", 1, std::move(End));
+  };
+  auto Replace = [&](Revision Expected) {
+    return [&F, Expected](StoreReplyHandler End) {
+      F.Client_.replace("things", "a", Expected, 2, std::move(End));
+    };
+  };
+  auto Remove = [&](StoreReplyHandler End) {
+    F.Client_.remove("things", "a", std::move(End));
+  };
+  CHECK(Call(Create) == StoreStatus::Ok);
+  CHECK(Call(Create) == StoreStatus::Conflict);
+  CHECK(Call(Replace(1)) == StoreStatus::Conflict);
+  CHECK(Call(Replace(2)) == StoreStatus::Ok);
+  CHECK(Call(Remove) == StoreStatus::Ok);
+  CHECK(Call(Remove) == StoreStatus::NotFound);
+  F.Store_.setMode(StoreMode::LoseWrites);
+  CHECK(Call(Create) == StoreStatus::Lost);
+  CHECK(F.Store_.contains("things", "a"));
+  F.Store_.setMode(StoreMode::Throttle);
+  CHECK(Call(Create) == StoreStatus::Busy);
+  F.Store_.setMode(StoreMode::Refuse);
+  CHECK(Call(Create) == StoreStatus::Unavailable);
+}
