Feature: [Test] Real entry VMs on stand-ins; Fix: [Request, Steering] Two faults that these showed

Cause: a server that drained and came back, and a zone that was taken back, got no request for 20 s: every object was warm elsewhere. And a watch that waits on a connection gone silent was found out after its own 20 s only. Change: one in 12 requests served away from an idle first home warms the object there, and warm copies cost a little; the watch on servers, which is answered all the time, waits 1.5 s at most, and when it recovers the others list anew. Also: an outdated entry of this VM in the store is replaced.

--- a/src/platform/decode.cpp
+++ b/src/platform/decode.cpp
@@ -341,6 +341,11 @@
   return Result;
 }
 
+std::optional<StoreObject> decodeObjectBody(const std::string &Body,
+                                            Reason &Why) {
+  return decodeObject(parseJson(Body), Why);
+}
+
 std::optional<StorePage> decodePage(const std::string &Body, Reason &Why) {
   json Root = parseJson(Body);
   FieldReader Fields(Root, Why);
--- a/src/platform/decode_func.h
+++ b/src/platform/decode_func.h
@@ -60,6 +60,10 @@
 std::optional<ServerRecord> decodeServer(const StoreObject &Object,
                                          Reason &Why);
 
+/// \return The object in the answer to a call on one, or nothing.
+std::optional<StoreObject> decodeObjectBody(const std::string &Body,
+                                            Reason &Why);
+
 /// \return Objects of a list, or nothing if \p Body is not one.
 std::optional<StorePage> decodePage(const std::string &Body, Reason &Why);
 
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -18,6 +18,16 @@
 /// An object's further homes in a zone are used when the first has a long
 /// wait; each copy takes room, which costs this share of the time saved.
 constexpr double CopyShare = 0.4;
+
+/// The same for a copy that is there already; its requests return to the first
+/// home as soon as that has the object.
+constexpr double WarmCopyShare = 0.1;
+
+/// Of the requests that would be served away from their object's first home in
+/// this zone, one in so many warms the object there: servers that joined or
+/// came back would get none otherwise.
+constexpr unsigned ReturnInterval = 12;
+
 constexpr unsigned HomesPerZone = 3;
 
 /// Weight of a new value in the share of warm objects.
@@ -213,15 +223,29 @@
     Result.Cost_ += RegionCost;
   if (Config.Proximity_ == Proximity::OtherRegion)
     Result.Cost_ += FarCost;
-  if (Request.Key_ == 0 || Chance >= 1)
+  if (Request.Key_ == 0)
     return Result;
   Duration Saved = Work.Slow_ - Work.Fast_;
+  if (Chance >= 1) {
+    Result.Cost_ += scale(Saved, WarmCopyShare * Where.Rank_);
+    return Result;
+  }
   if (Server.isWarmSetFull())
     Result.Cost_ += scale(Saved, EvictionShare);
   Result.Cost_ += scale(Saved, CopyShare * Where.Rank_);
   return Result;
 }
 
+bool ServiceBalancer::isDueHome(const WaitingRequest &Request,
+                                const Candidate &Home, const Candidate &Best,
+                                Time Now) {
+  if (!Home.Server_ || Home.Server_ == Best.Server_ ||
+      Home.Wait_ > Duration(0) || Now + Home.Finish_ > Request.ObjectiveAt_ ||
+      Home.Server_->getWarmth(Request.Key_) == Warmth::Warm)
+    return false;
+  return ++AwayFromHome_ % ReturnInterval == 0;
+}
+
 ServiceBalancer::Candidate
 ServiceBalancer::choose(const WaitingRequest &Request, const Plan &Planned,
                         Time Now) {
@@ -229,6 +253,7 @@
   bool MayLeave = Gate_.mayLeave(Now);
   Candidate Best;
   Candidate BestFar;
+  Candidate FirstHome;
   for (const Home &Where : getHomes(Request.Key_)) {
     ServerState *Server = Where.Server_;
     if (!mayUse(Request, Server->getConfig()) || !Server->isAvailable(Now))
@@ -237,6 +262,9 @@
     auto Found = Planned.find(Server);
     Candidate Next = rate(Request, Where, Work,
                           Found == Planned.end() ? 0 : Found->second, Now);
+    if (Request.Key_ != 0 && Where.Rank_ == 0 &&
+        Server->getConfig().Proximity_ == Proximity::SameZone)
+      FirstHome = Next;
     Candidate &Known = IsFar ? BestFar : Best;
     if (!Known.Server_ || Next.Cost_ < Known.Cost_)
       Known = Next;
@@ -244,8 +272,8 @@
   // A region without servers of its own has no choice.
   if (!Best.Server_ ||
       (MayLeave && BestFar.Server_ && BestFar.Cost_ < Best.Cost_))
-    return BestFar;
-  return Best;
+    Best = BestFar;
+  return isDueHome(Request, FirstHome, Best, Now) ? FirstHome : Best;
 }
 
 bool ServiceBalancer::hasServer(const WaitingRequest &Request) const {
--- a/src/request/service_balancer_base.h
+++ b/src/request/service_balancer_base.h
@@ -83,6 +83,8 @@
   double getWarmChance(const Home &Where, uint64_t Key) const;
   Candidate rate(const WaitingRequest &Request, const Home &Where,
                  const WorkEstimate &Work, unsigned Planned, Time Now) const;
+  bool isDueHome(const WaitingRequest &Request, const Candidate &Home,
+                 const Candidate &Best, Time Now);
   Candidate choose(const WaitingRequest &Request, const Plan &Planned,
                    Time Now);
   bool hasServer(const WaitingRequest &Request) const;
@@ -100,6 +102,8 @@
   HomeList AllServers_;                 ///< For requests without an object.
   double FirstHomeHits_ = 0.5; ///< Share of objects not sent from here that a
                                ///< first home had warm.
+  unsigned AwayFromHome_ = 0;  ///< Requests served away from an idle first
+                               ///< home in this zone.
   std::vector<WaitingRequest> Waiting_; ///< Not placed.
   WorkHistory History_;                 ///< Lengths of work by route.
 };
--- a/src/steering/peer_exchange.cpp
+++ b/src/steering/peer_exchange.cpp
@@ -32,8 +32,8 @@
               [this](const IngressExchangePtr &Exchange) { handle(Exchange); }),
       Connections_(Loop), Timer_(Loop) {}
 
-bool PeerExchange::open(Reason &Why) {
-  if (!Server_.open(Membership_.getSelf().PeerAddress_, Why))
+bool PeerExchange::open(const std::string &Address, Reason &Why) {
+  if (!Server_.open(Address, Why))
     return false;
   sendRound();
   return true;
--- a/src/steering/peer_exchange_base.h
+++ b/src/steering/peer_exchange_base.h
@@ -23,8 +23,9 @@
                EventLog &Log, std::function<void()> OnChange);
 
   /// Opens the port for other entry VMs and starts to send.
+  /// \param Address Where to listen.
   /// \param[out] Why PortUnavailable if the result is false.
-  bool open(Reason &Why);
+  bool open(const std::string &Address, Reason &Why);
 
   /// Adds an entry VM that was found elsewhere.
   void addSeed(const std::string &Address) { Membership_.addSeed(Address); }
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -24,6 +24,10 @@
 /// shortest bound on it.
 constexpr Duration ServerPace = milliseconds(700);
 
+/// Longest wait of a watch on servers. It is answered far sooner, so that one
+/// that is not finds out a store or a connection that has gone silent.
+constexpr Duration ServerWait = milliseconds(1500);
+
 /// Period of what has no event of its own.
 constexpr Duration TickPeriod = milliseconds(200);
 
@@ -70,8 +74,12 @@
   Self.Vm_ = Settings_.Vm_;
   Self.Region_ = Settings_.Region_;
   Self.Zone_ = Settings_.Zone_;
-  Self.HttpAddress_ = Settings_.Http_;
-  Self.PeerAddress_ = Settings_.Peer_;
+  Self.HttpAddress_ = Settings_.HttpAdvertise_.empty()
+                          ? Settings_.Http_
+                          : Settings_.HttpAdvertise_;
+  Self.PeerAddress_ = Settings_.PeerAdvertise_.empty()
+                          ? Settings_.Peer_
+                          : Settings_.PeerAdvertise_;
   Self.Incarnation_ = Incarnation;
   return Self;
 }
@@ -97,6 +105,7 @@
   FollowPlan Plan;
   Plan.Kind_ = platform::kind::Servers;
   Plan.Pace_ = ServerPace;
+  Plan.Wait_ = ServerWait;
   FollowHandlers Handlers;
   Handlers.OnList_ = [this](const std::vector<StoreObject> &Objects) {
     std::vector<ServerRecord> Records;
@@ -113,7 +122,12 @@
     takeServer(Change.Object_, Change.IsRemoved_);
   };
   Handlers.OnLost_ = [this] { Registry_.noteStoreLost(); };
-  Handlers.OnRegained_ = [this] { Registry_.noteStoreRegained(getNow()); };
+  Handlers.OnRegained_ = [this] {
+    Registry_.noteStoreRegained(getNow());
+    ConfigFollower_.restart();
+    EvacuationFollower_.restart();
+    VmFollower_.restart();
+  };
   return {Loop_, Store_, Plan, Handlers, Log_};
 }
 
@@ -159,7 +173,8 @@
 bool SteeringVm::start(Reason &Why) {
   if (!Front_.open(Settings_.Http_, Why) ||
       !Directory_.open(Settings_.Directory_, Why) ||
-      !Readiness_.open(Settings_.Readiness_, Why) || !Peers_.open(Why))
+      !Readiness_.open(Settings_.Readiness_, Why) ||
+      !Peers_.open(Settings_.Peer_, Why))
     return false;
   Log_.write(getNow(), "start",
              {{"zone", Settings_.Zone_},
@@ -274,22 +289,44 @@
     Peers_.addSeed(Address);
 }
 
-void SteeringVm::announce() {
+nlohmann::json SteeringVm::makeEntry() const {
   const Member &Self = Peers_.getSelf();
-  nlohmann::json Body = {{"peer", Self.PeerAddress_},
-                         {"zone", Self.Zone_},
-                         {"incarnation", Self.Incarnation_}};
-  Store_.create(
-      platform::kind::EntryVms, Self.Vm_, Body, [this](const StoreReply &R) {
-        // An entry of an earlier process of this VM names the same address.
-        if (R.Status_ == StoreStatus::Ok || R.Status_ == StoreStatus::Conflict)
-          return;
-        Announce_.expires_after(AnnounceRetry);
-        Announce_.async_wait([this](error_code Cancelled) {
-          if (!Cancelled)
-            announce();
-        });
-      });
+  return {{"peer", Self.PeerAddress_},
+          {"zone", Self.Zone_},
+          {"incarnation", Self.Incarnation_}};
+}
+
+void SteeringVm::announce() {
+  Store_.create(platform::kind::EntryVms, Settings_.Vm_, makeEntry(),
+                [this](const StoreReply &Reply) { takeAnnounced(Reply); });
+}
+
+void SteeringVm::takeAnnounced(const StoreReply &Reply) {
+  if (Reply.Status_ == StoreStatus::Ok)
+    return;
+  Reason Why;
+  std::optional<StoreObject> Earlier;
+  if (Reply.Status_ == StoreStatus::Conflict)
+    Earlier = platform::decodeObjectBody(Reply.Body_, Why);
+  // An entry of an earlier process of this VM; with the same address it does.
+  if (Earlier && Earlier->Body_.is_object() &&
+      Earlier->Body_.value("peer", "") == Peers_.getSelf().PeerAddress_)
+    return;
+  if (Earlier) {
+    Store_.replace(platform::kind::EntryVms, Settings_.Vm_, Earlier->Revision_,
+                   makeEntry(),
+                   [this](const StoreReply &Next) { takeAnnounced(Next); });
+    return;
+  }
+  Log_.write(getNow(), "announce-failed",
+             {{"status", platform::StoreStatusNames[static_cast<size_t>(
+                             Reply.Status_)]},
+              {"text", Reply.Text_}});
+  Announce_.expires_after(AnnounceRetry);
+  Announce_.async_wait([this](error_code Cancelled) {
+    if (!Cancelled && !IsStopping_)
+      announce();
+  });
 }
 
 void SteeringVm::refresh() {
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -45,7 +45,9 @@
   void takeEvacuations();
   void takeMembers();
   void takeVm(const platform::StoreObject &Object);
+  nlohmann::json makeEntry() const;
   void announce();
+  void takeAnnounced(const platform::StoreReply &Reply);
   void refresh();
   void tick();
   void waitForSignal();
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -35,10 +35,24 @@
   });
 }
 
+platform::StoreReplyHandler
+StoreFollower::guard(void (StoreFollower::*Take)(const StoreReply &)) {
+  return [this, Take, Generation = Generation_](const StoreReply &Reply) {
+    if (Generation == Generation_)
+      (this->*Take)(Reply);
+  };
+}
+
+void StoreFollower::restart() {
+  ++Generation_;
+  Listed_.clear();
+  Timer_.cancel();
+  list();
+}
+
 void StoreFollower::list() {
   std::string After = Listed_.empty() ? "" : Listed_.back().Name_;
-  Store_.list(Plan_.Kind_, After,
-              [this](const StoreReply &Reply) { takePage(Reply); });
+  Store_.list(Plan_.Kind_, After, guard(&StoreFollower::takePage));
 }
 
 void StoreFollower::takePage(const StoreReply &Reply) {
@@ -79,7 +93,7 @@
 void StoreFollower::watch() {
   LastWatch_ = getNow();
   Store_.watch(Plan_.Kind_, Revision_, Plan_.Wait_,
-               [this](const StoreReply &Reply) { takeChanges(Reply); });
+               guard(&StoreFollower::takeChanges));
 }
 
 void StoreFollower::takeChanges(const StoreReply &Reply) {
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -42,6 +42,10 @@
 
   void start() { list(); }
 
+  /// Lists anew, whatever call is out: the connection that it waits on may have
+  /// gone silent together with another one that was found out.
+  void restart();
+
   /// \return Whether the kind was listed.
   bool isKnown() const { return IsKnown_; }
 
@@ -55,6 +59,8 @@
   void takeChanges(const platform::StoreReply &Reply);
   void retry(platform::StoreStatus Status, const std::string &Text);
   void noteSuccess();
+  platform::StoreReplyHandler
+  guard(void (StoreFollower::*Take)(const platform::StoreReply &));
   void after(Duration Wait, void (StoreFollower::*Next)());
 
   platform::StoreClient &Store_;    ///< Store.
@@ -64,6 +70,7 @@
   boost::asio::steady_timer Timer_; ///< Next call.
   std::vector<platform::StoreObject> Listed_; ///< Pages so far.
   Revision Revision_ = 0;    ///< See getRevision().
+  uint64_t Generation_ = 0;  ///< Replies to calls of earlier ones are dropped.
   Time LastWatch_;           ///< Start of the last watch.
   Duration Backoff_{0};      ///< Last wait after a failure.
   bool IsKnown_ = false;     ///< See isKnown().
--- a/standin/child_process.cpp
+++ b/standin/child_process.cpp
@@ -13,13 +13,19 @@
 namespace cranberry::standin {
 
 ChildProcess::ChildProcess(const std::vector<std::string> &Arguments,
-                           const std::string &LogPath) {
+                           const std::string &LogPath,
+                           const std::string &OutputPath) {
   int Pipe[2];
   if (pipe2(Pipe, O_CLOEXEC) != 0)
     throw std::runtime_error("pipe failed");
   posix_spawn_file_actions_t Actions;
   posix_spawn_file_actions_init(&Actions);
-  posix_spawn_file_actions_adddup2(&Actions, Pipe[1], STDOUT_FILENO);
+  if (OutputPath.empty())
+    posix_spawn_file_actions_adddup2(&Actions, Pipe[1], STDOUT_FILENO);
+  else
+    posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO,
+                                     OutputPath.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_addopen(
       &Actions, STDERR_FILENO, LogPath.empty() ? "/dev/null" : LogPath.c_str(),
       O_WRONLY | O_CREAT | O_APPEND, 0644);
--- a/standin/child_process_base.h
+++ b/standin/child_process_base.h
@@ -14,8 +14,9 @@
 public:
   /// \param Arguments Program and arguments.
   /// \param LogPath Where its error output goes; empty for nowhere.
+  /// \param OutputPath Where its output goes; empty for waitReady().
   ChildProcess(const std::vector<std::string> &Arguments,
-               const std::string &LogPath);
+               const std::string &LogPath, const std::string &OutputPath = "");
 
   /// Kills the process if it still runs.
   ~ChildProcess();
--- /dev/null
+++ b/test/process/steering_test.cpp
@@ -0,0 +1,428 @@
+/// \file steering_test.cpp Real entry VMs on stand-ins of the platform.
+#include "net/ingress_server_base.h"
+#include "standin/route_client_base.h"
+#include "standin/routed_fleet_base.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <set>
+
+using namespace cranberry;
+using namespace cranberry::standin;
+using nlohmann::json;
+
+namespace {
+
+constexpr Duration Patience = seconds(20);
+
+/// A directory of its own for each test, which goes with it.
+struct TestDirectory {
+  TestDirectory() {
+    std::string Pattern =
+        (std::filesystem::temp_directory_path() / "cranberryXXXXXX").string();
+    REQUIRE(mkdtemp(Pattern.data()));
+    Path_ = Pattern;
+  }
+  ~TestDirectory() { std::filesystem::remove_all(Path_); }
+
+  std::string Path_; ///< Path.
+};
+
+/// A fleet that serves "/read/" (idempotent) and "/pay/" (at most once).
+struct Fixture {
+  explicit Fixture(const FleetPlan &Plan = {{"north-a"}, {"one", "two"}})
+      : Fleet_(Plan, std::string(PROGRAM_DIR) + "/cranberryd",
+               Directory_.Path_) {
+    Fleet_.configure(makeRoutes("one"));
+  }
+
+  static json makeRoutes(const std::string &Service) {
+    return json::array(
+        {makeRoute("r-read", "/read/", Service, true, seconds(3)),
+         makeRoute("r-pay", "/pay/", "one", false, seconds(3))});
+  }
+
+  void startAll() {
+    for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
+      Fleet_.start(I);
+    for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
+      REQUIRE(Fleet_.waitReady(I, Patience));
+  }
+
+  std::string makeId() { return "id" + std::to_string(++Ids_); }
+
+  ClientReply call(RouteClient &Client, const std::string &Target,
+                   const std::string &Id, const std::string &Method = "GET") {
+    return Client.call({Method, Target, Id, "7", seconds(3)}, seconds(10));
+  }
+
+  /// \return How often \p Id was run by any server.
+  size_t getRuns(const std::string &Id) {
+    size_t Count = 0;
+    for (FleetServer &Each : Fleet_.servers())
+      for (const ServerRun &Run : Each.Server_->getRuns())
+        Count += Run.AttemptId_ == Id ? 1 : 0;
+    return Count;
+  }
+
+  unsigned getArrivals(const std::string &Service) {
+    unsigned Count = 0;
+    for (FleetServer &Each : Fleet_.servers())
+      Count += Each.Service_ == Service ? Each.Server_->getArrivals() : 0;
+    return Count;
+  }
+
+  void setFaults(AnswerFault Fault) {
+    for (FleetServer &Each : Fleet_.servers())
+      Each.Server_->setFault(Fault);
+  }
+
+  template <typename F> static bool waitUntil(F Condition) {
+    RouteClient Clock("");
+    Time End = getNow() + Patience;
+    while (!Condition() && getNow() < End)
+      Clock.pause(milliseconds(10));
+    return Condition();
+  }
+
+  TestDirectory Directory_; ///< Settings and logs.
+  RoutedFleet Fleet_;       ///< Under test.
+  int Ids_ = 0;             ///< Last id.
+};
+
+} // namespace
+
+TEST_CASE("steering: a request gets its own whole answer") {
+  Fixture F;
+  F.startAll();
+  RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
+  for (int I = 0; I < 20; ++I) {
+    std::string Id = F.makeId();
+    ClientReply Reply = F.call(Client, "/read/x?q=1", Id);
+    CHECK(Reply.Status_ == 200);
+    CHECK(Reply.Body_ == Id + " /read/x?q=1");
+    CHECK_FALSE(Reply.Signature_.empty());
+  }
+  CHECK(F.call(Client, "/other/x", F.makeId()).Status_ == 404);
+}
+
+TEST_CASE("steering: a VM that knows no configuration says so") {
+  Fixture F;
+  F.Fleet_.store().setMode(StoreMode::Refuse);
+  F.Fleet_.start(0);
+  RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
+  RouteClient Ready(F.Fleet_.vm(0).Readiness_.getAddress());
+  REQUIRE(F.waitUntil([&] {
+    return Ready.call({"GET", "/api/readiness"}, seconds(1)).Status_ == 503;
+  }));
+  ClientReply Reply = F.call(Client, "/read/x", F.makeId());
+  CHECK(Reply.Status_ == 503);
+  CHECK(Reply.RetryAfter_ > 0);
+  F.Fleet_.store().setMode(StoreMode::Serve);
+  CHECK(F.Fleet_.waitReady(0, Patience));
+  CHECK(F.call(Client, "/read/x", F.makeId()).Status_ == 200);
+}
+
+TEST_CASE("steering: a request that runs at most once is never repeated") {
+  Fixture F;
+  F.startAll();
+  RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
+  for (AnswerFault Fault : {AnswerFault::Lose, AnswerFault::Unsigned}) {
+    F.setFaults(Fault);
+    std::string Id = F.makeId();
+    ClientReply Reply = F.call(Client, "/pay/x", Id, "POST");
+    CHECK(Reply.Status_ == 502);
+    CHECK(F.getRuns(Id) == 1);
+    Client.reset();
+  }
+  // A refusal of every server is a truthful "not run".
+  F.setFaults(AnswerFault::Refuse);
+  std::string Id = F.makeId();
+  ClientReply Refused = F.call(Client, "/pay/x", Id, "POST");
+  CHECK(Refused.Status_ == 503);
+  CHECK(Refused.RetryAfter_ > 0);
+  CHECK(F.getRuns(Id) == 0);
+  // A server's own failure is its answer.
+  F.setFaults(AnswerFault::Fail);
+  Id = F.makeId();
+  ClientReply Failed = F.call(Client, "/pay/x", Id, "POST");
+  CHECK(Failed.Status_ == 500);
+  CHECK_FALSE(Failed.Signature_.empty());
+  CHECK(F.getRuns(Id) == 1);
+}
+
+TEST_CASE("steering: an idempotent request is finished by another server") {
+  Fixture F;
+  F.startAll();
+  RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
+  std::vector<FleetServer> &Servers = F.Fleet_.servers();
+  for (AnswerFault Fault : {AnswerFault::Lose, AnswerFault::Refuse,
+                            AnswerFault::Fail, AnswerFault::Unsigned}) {
+    Servers[0].Server_->setFault(Fault);
+    for (int I = 0; I < 6; ++I) {
+      std::string Id = F.makeId();
+      CHECK(F.call(Client, "/read/x" + std::to_string(I), Id).Status_ == 200);
+    }
+  }
+  // With every server refusing, the route's number of servers is kept.
+  F.setFaults(AnswerFault::Refuse);
+  unsigned Before = F.getArrivals("one");
+  CHECK(F.call(Client, "/read/x", F.makeId()).Status_ == 503);
+  CHECK(F.getArrivals("one") - Before <= 2);
+}
+
+TEST_CASE("steering: a route's timeout ends a request whose server is silent") {
+  Fixture F;
+  json Routes = json::array(
+      {makeRoute("r-pay", "/pay/", "one", false, milliseconds(300))});
+  F.Fleet_.configure(Routes);
+  F.startAll();
+  F.setFaults(AnswerFault::Silent);
+  RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
+  Time Start = getNow();
+  std::string Id = F.makeId();
+  CHECK(F.call(Client, "/pay/x", Id, "POST").Status_ == 504);
+  CHECK(getNow() - Start >= milliseconds(300));
+  CHECK(F.getRuns(Id) == 1);
+}
+
+TEST_CASE("steering: a client's leaving reaches the server") {
+  Fixture F;
+  for (FleetServer &Each : F.Fleet_.servers())
+    Each.Server_->setWork(seconds(2));
+  F.startAll();
+  RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
+  std::string Id = F.makeId();
+  REQUIRE(Client.send({"GET", "/read/x", Id, "7", seconds(3)}));
+  REQUIRE(F.waitUntil([&] { return F.getRuns(Id) == 1; }));
+  Client.reset();
+  CHECK(F.waitUntil([&] {
+    unsigned Cancelled = 0;
+    for (FleetServer &Each : F.Fleet_.servers())
+      Cancelled += Each.Server_->getCancelled();
+    return Cancelled == 1;
+  }));
+}
+
+TEST_CASE("steering: a draining or removed server gets nothing new") {
+  Fixture F;
+  F.startAll();
+  RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
+  std::vector<FleetServer> &Servers = F.Fleet_.servers();
+  std::set<RoutedServer *> Left{Servers[0].Server_.get(),
+                                Servers[1].Server_.get()};
+  auto GetLeaving = [&Servers] { return Servers[0].Server_->getArrivals(); };
+  for (bool IsRemoved : {false, true}) {
+    INFO("removed: " << IsRemoved);
+    F.Fleet_.enlist(Servers[0]);
+    REQUIRE(F.waitUntil([&] {
+      unsigned Before = GetLeaving();
+      for (int I = 0; I < 8; ++I)
+        F.call(Client, "/read/x" + std::to_string(I), F.makeId());
+      RouteClient Fresh(F.Fleet_.vm(0).FrontLink_->getAddress());
+      for (int I = 0; I < 16; ++I)
+        Fresh.call({"GET", "/read/x", F.makeId(), std::to_string(I),
+                    seconds(3)},
+                   seconds(10));
+      return GetLeaving() > Before;
+    }));
+    if (IsRemoved)
+      F.Fleet_.delist(Servers[0]);
+    else
+      F.Fleet_.enlist(Servers[0], true);
+    Time Told = getNow();
+    unsigned Last = GetLeaving();
+    Time LastSeen = Told;
+    for (int I = 0; getNow() < Told + milliseconds(2500); ++I) {
+      ClientReply Reply = Client.call(
+          {"GET", "/read/x", F.makeId(), std::to_string(I % 16), seconds(3)},
+          seconds(10));
+      CHECK(Reply.Status_ == 200);
+      if (GetLeaving() != Last)
+        LastSeen = getNow();
+      Last = GetLeaving();
+    }
+    CHECK(LastSeen - Told < milliseconds(2000));
+  }
+}
+
+TEST_CASE("steering: a configuration is in force soon and never goes back") {
+  Fixture F({{"north-a", "north-b"}, {"one", "two"}});
+  F.startAll();
+  RouteClient First(F.Fleet_.vm(0).FrontLink_->getAddress());
+  REQUIRE(F.call(First, "/read/x", F.makeId()).Status_ == 200);
+  unsigned Before = F.getArrivals("two");
+  CHECK(Before == 0);
+  F.Fleet_.configure(Fixture::makeRoutes("two"));
+  Time Told = getNow();
+  for (size_t Vm = 0; Vm < 2; ++Vm) {
+    RouteClient Client(F.Fleet_.vm(Vm).FrontLink_->getAddress());
+    CHECK(F.waitUntil([&] {
+      unsigned Old = F.getArrivals("one");
+      return F.call(Client, "/read/x", F.makeId()).Status_ == 200 &&
+             F.getArrivals("one") == Old;
+    }));
+  }
+  CHECK(getNow() - Told < milliseconds(2500));
+  unsigned Old = F.getArrivals("one");
+  for (int I = 0; I < 20; ++I)
+    F.call(First, "/read/x", F.makeId());
+  CHECK(F.getArrivals("one") == Old);
+}
+
+TEST_CASE("steering: an evacuated zone gets nothing until it is taken back") {
+  Fixture F({{"north-a", "north-b"}, {"one"}});
+  F.startAll();
+  F.Fleet_.store().put("evacuations", "north-a", json::object());
+  auto GetInZone = [&F] {
+    unsigned Count = 0;
+    for (FleetServer &Each : F.Fleet_.servers())
+      Count += Each.Zone_ == "north-a" ? Each.Server_->getArrivals() : 0;
+    return Count;
+  };
+  RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
+  REQUIRE(F.waitUntil([&] {
+    unsigned Before = GetInZone();
+    for (int I = 0; I < 8; ++I)
+      Client.call({"GET", "/read/x", F.makeId(), std::to_string(I),
+                   seconds(3)},
+                  seconds(10));
+    return GetInZone() == Before;
+  }));
+  unsigned Before = GetInZone();
+  for (int I = 0; I < 40; ++I)
+    CHECK(Client
+              .call({"GET", "/read/x", F.makeId(), std::to_string(I),
+                     seconds(3)},
+                    seconds(10))
+              .Status_ == 200);
+  CHECK(GetInZone() == Before);
+  F.Fleet_.store().remove("evacuations", "north-a");
+  CHECK(F.waitUntil([&] {
+    for (int I = 0; I < 8; ++I)
+      Client.call({"GET", "/read/x", F.makeId(), std::to_string(I),
+                   seconds(3)},
+                  seconds(10));
+    return GetInZone() > Before;
+  }));
+}
+
+TEST_CASE("steering: a planned stop cuts no request and leaves the directory") {
+  Fixture F({{"north-a", "north-a"}, {"one"}});
+  for (FleetServer &Each : F.Fleet_.servers())
+    Each.Server_->setWork(milliseconds(400));
+  F.startAll();
+  RouteClient Directory(F.Fleet_.vm(1).Directory_.getAddress());
+  auto GetNamed = [&] {
+    ClientReply Reply = Directory.call(
+        {"GET", "/api/lookup?name=shop.example&region=north&zone=north-a"},
+        seconds(5));
+    if (Reply.Status_ != 200)
+      return size_t(0);
+    return json::parse(Reply.Body_)["addresses"].size();
+  };
+  REQUIRE(F.waitUntil([&] { return GetNamed() == 2; }));
+  RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
+  REQUIRE(F.call(Client, "/read/x", F.makeId()).Status_ == 200);
+  F.Fleet_.vm(0).Process_->signal(SIGTERM);
+  // On the open connection, while the VM is leaving.
+  ClientReply Reply = F.call(Client, "/read/x", F.makeId());
+  CHECK(Reply.Status_ == 200);
+  CHECK(F.waitUntil([&] { return GetNamed() == 1; }));
+  CHECK(F.Fleet_.vm(0).Process_->wait() == 0);
+  CHECK_FALSE(F.Fleet_.store().contains("entry-vms", "vm-0"));
+}
+
+TEST_CASE("steering: a killed VM leaves the directory, and returns to it") {
+  Fixture F({{"north-a", "north-a", "south-a"}, {"one"}});
+  F.startAll();
+  RouteClient Directory(F.Fleet_.vm(1).Directory_.getAddress());
+  auto GetNamed = [&] {
+    ClientReply Reply = Directory.call(
+        {"GET", "/api/lookup?name=shop.example&region=north&zone=north-a"},
+        seconds(5));
+    if (Reply.Status_ != 200)
+      return size_t(0);
+    return json::parse(Reply.Body_)["addresses"].size();
+  };
+  REQUIRE(F.waitUntil([&] { return GetNamed() == 2; }));
+  F.Fleet_.vm(0).Process_->signal(SIGKILL);
+  Time Killed = getNow();
+  CHECK(F.waitUntil([&] { return GetNamed() == 1; }));
+  CHECK(getNow() - Killed < seconds(6));
+  F.Fleet_.start(0);
+  REQUIRE(F.Fleet_.waitReady(0, Patience));
+  CHECK(F.waitUntil([&] { return GetNamed() == 2; }));
+}
+
+TEST_CASE("steering: servers that lapse with the store are kept for a while") {
+  Fixture F;
+  F.startAll();
+  RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
+  F.Fleet_.store().setMode(StoreMode::Refuse);
+  RouteClient Clock("");
+  Clock.pause(milliseconds(1500));
+  for (FleetServer &Each : F.Fleet_.servers())
+    F.Fleet_.delist(Each);
+  CHECK(F.call(Client, "/read/x", F.makeId()).Status_ == 200);
+  F.Fleet_.store().setMode(StoreMode::Serve);
+  for (int I = 0; I < 10; ++I) {
+    CHECK(F.call(Client, "/read/x", F.makeId()).Status_ == 200);
+    Clock.pause(milliseconds(50));
+  }
+  // What does not come back is gone.
+  CHECK(F.waitUntil([&] {
+    return F.call(Client, "/read/x", F.makeId()).Status_ == 503;
+  }));
+}
+
+TEST_CASE("steering: another server at a known address runs nothing") {
+  Fixture F({{"north-a"}, {"one"}});
+  F.startAll();
+  std::vector<FleetServer> &Servers = F.Fleet_.servers();
+  // The address of the first now leads to a server of another instance.
+  RoutedServer Other("i-other", 4, milliseconds(5));
+  Servers[0].Link_->setTarget(Other.getAddress());
+  Servers[0].Link_->setMode(LinkMode::Cut);
+  Servers[0].Link_->setMode(LinkMode::Pass);
+  RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
+  for (int I = 0; I < 40; ++I)
+    CHECK(Client
+              .call({"GET", "/read/x", F.makeId(), std::to_string(I),
+                     seconds(3)},
+                    seconds(10))
+              .Status_ == 200);
+  CHECK(Other.getRuns().empty());
+}
+
+TEST_CASE("steering: settings at fault are named with their code") {
+  TestDirectory Directory;
+  const std::pair<json, const char *> Rows[] = {
+      {{{"vm", "a"}}, "106"},
+      {{{"unknown", 1}}, "103"},
+      {{{"directory", 5}}, "104"},
+      {{{"stopGraceMs", "soon"}}, "104"},
+      {{{"stopGraceMs", "1ms"}}, "105"},
+      {{{"repeatRatio", -1}}, "105"},
+      {{{"zones", {{"a", 3}}}}, "104"},
+  };
+  for (const auto &[Settings, Code] : Rows) {
+    std::string Path = Directory.Path_ + "/settings.json";
+    std::string Log = Directory.Path_ + "/log";
+    std::filesystem::remove(Log);
+    std::ofstream(Path) << Settings.dump();
+    ChildProcess Process(
+        {std::string(PROGRAM_DIR) + "/cranberryd", "--settings", Path}, Log,
+        Log);
+    CHECK(Process.wait() == 2);
+    std::ifstream File(Log);
+    std::string Line;
+    std::getline(File, Line);
+    INFO(Settings.dump() << ": " << Line);
+    CHECK(Line.find(Code) != std::string::npos);
+  }
+}
