--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -68,11 +68,10 @@
     ++Dropped_;
     return;
   }
-  absl::StrAppendFormat(&Pending_, R"({"t":%.3f,"vm":%s,"event":"%s")",
-                        std::chrono::duration<double>(
-                            Now.time_since_epoch())
-                            .count(),
-                        quote(Vm_), Kind);
+  absl::StrAppendFormat(
+      &Pending_, R"({"t":%.3f,"vm":%s,"event":"%s")",
+      std::chrono::duration<double>(Now.time_since_epoch()).count(), quote(Vm_),
+      Kind);
   for (const LogField &Field : Fields)
     absl::StrAppend(&Pending_, ",\"", Field.Name_, "\":", Field.Json_);
   if (State.LeftOut_ > 0)
--- a/src/core/event_log_base.h
+++ b/src/core/event_log_base.h
@@ -46,7 +46,8 @@
 
   /// Writes a line unless its kind is over its rate.
   /// \param Now Time of the decision.
-  void write(Time Now, const char *Kind, std::initializer_list<LogField> Fields);
+  void write(Time Now, const char *Kind,
+             std::initializer_list<LogField> Fields);
 
   /// Passes on what the reader takes now.
   void flush();
@@ -60,8 +61,8 @@
 
 private:
   struct KindState {
-    Time WindowStart_;    ///< Start of the current second.
-    unsigned Lines_ = 0;  ///< Lines in it.
+    Time WindowStart_;     ///< Start of the current second.
+    unsigned Lines_ = 0;   ///< Lines in it.
     uint64_t LeftOut_ = 0; ///< Lines left out since the last one written.
   };
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -103,11 +103,10 @@
     return fail({cranberry::ResultCode::FlagInvalid, "--settings",
                  "a settings file is needed"});
   cranberry::Reason Why;
-  std::optional<cranberry::Settings> Settings =
-      cranberry::readSettings(Given.count("settings")
-                                  ? Given["settings"].as<std::string>()
-                                  : FromEnvironment,
-                              Why);
+  std::optional<cranberry::Settings> Settings = cranberry::readSettings(
+      Given.count("settings") ? Given["settings"].as<std::string>()
+                              : FromEnvironment,
+      Why);
   if (!Settings)
     return fail(Why);
   if (Given.count("check")) {
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -32,7 +32,7 @@
   Duration DrainLimit_ = seconds(60); ///< Longest planned stop.
   unsigned MaxKeys_ = 200000;         ///< Most idempotency keys remembered.
   unsigned MaxAnswerMb_ = 32;         ///< Most MiB of answers remembered.
-  std::string Readiness_; ///< Listens here for readiness checks.
+  std::string Readiness_;             ///< Listens here for readiness checks.
   std::string Directory_; ///< Listens here for look-ups. Chooses steering of
                           ///< the store's routes, see SteeringVm.
   std::map<std::string, std::string> Zones_; ///< Region of each zone.
@@ -40,7 +40,9 @@
                                     ///< killed.
   double RepeatRatio_ = 0.1;        ///< Repeats for each request.
   double RepeatSlack_ = 0;          ///< Repeats beside the ratio, of all VMs.
-  Duration RepeatWindow_ = seconds(10); ///< Window of both.
+  Duration RepeatWindow_ = seconds(10);       ///< Window of both.
+  Duration ServerDrain_ = milliseconds(2000); ///< In which a leaving server
+                                              ///< must get no more work.
   double MaxRegionShift_ = 1;  ///< Most of a region's requests that may change
                                ///< the region where they run within 2 s.
   double ColdBurstFactor_ = 1; ///< Times the rate that a cold server bears.
--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -55,6 +55,7 @@
     {"repeatRatio", &Settings::RepeatRatio_, false, false, 0, 10},
     {"repeatSlack", &Settings::RepeatSlack_, false, false, 0, 1000000},
     {"repeatWindowMs", &Settings::RepeatWindow_, false, false, 100, 600000},
+    {"serverDrainMs", &Settings::ServerDrain_, false, false, 200, 60000},
     {"maxRegionShift", &Settings::MaxRegionShift_, false, false, 0, 1},
     {"coldBurstFactor", &Settings::ColdBurstFactor_, false, false, 0, 100},
 };
--- a/src/net/attempt_type.h
+++ b/src/net/attempt_type.h
@@ -28,7 +28,7 @@
 struct AttemptResult {
   AttemptEnd End_ = AttemptEnd::Broken; ///< End.
   ResponseMessage Response_;            ///< The response, if Answered.
-  bool OnReused_ = false;     ///< Whether the connection was used before.
+  bool OnReused_ = false;           ///< Whether the connection was used before.
   std::optional<Duration> Connect_; ///< Time it took to connect, if new.
 };
 
@@ -46,11 +46,11 @@
 
 /// One request as it is sent.
 struct AttemptSpec {
-  std::string Bytes_;       ///< Serialized request.
-  bool IsHead_ = false;     ///< Whether the response has no body.
-  ResponseMatcher Matches_; ///< Tells responses apart.
+  std::string Bytes_;          ///< Serialized request.
+  bool IsHead_ = false;        ///< Whether the response has no body.
+  ResponseMatcher Matches_;    ///< Tells responses apart.
   Duration ConnectTimeout_{0}; ///< Longest wait for a new connection.
-  Duration MaxIdle_{0}; ///< Longest idle time of a connection to reuse.
+  Duration MaxIdle_{0};        ///< Longest idle time of a connection to reuse.
 };
 
 } // namespace cranberry
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -37,10 +37,9 @@
   return nullptr;
 }
 
-AttemptHandle
-ConnectionPool::send(const std::string &Key,
-                     const boost::asio::ip::tcp::endpoint &Server,
-                     AttemptSpec Spec, AttemptHandler End) {
+AttemptHandle ConnectionPool::send(const std::string &Key,
+                                   const boost::asio::ip::tcp::endpoint &Server,
+                                   AttemptSpec Spec, AttemptHandler End) {
   ServerConnectionPtr Connection = takeIdle(Key, Spec.MaxIdle_);
   bool IsNew = !Connection;
   if (IsNew) {
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -89,9 +89,9 @@
   ResponseMessage Message;
   Message.result(Status);
   if (!Body.empty())
-    Message.set(http::field::content_type,
-                boost::beast::string_view(ContentType.data(),
-                                          ContentType.size()));
+    Message.set(
+        http::field::content_type,
+        boost::beast::string_view(ContentType.data(), ContentType.size()));
   Message.body() = std::move(Body);
   return Message;
 }
--- a/src/net/ingress_connection_base.h
+++ b/src/net/ingress_connection_base.h
@@ -17,8 +17,7 @@
 class IngressConnection
     : public std::enable_shared_from_this<IngressConnection> {
 public:
-  IngressConnection(IngressServer &Server,
-                    boost::asio::ip::tcp::socket Socket);
+  IngressConnection(IngressServer &Server, boost::asio::ip::tcp::socket Socket);
 
   void start();
 
@@ -35,8 +34,8 @@
   void close();
 
 private:
-  using Parser = boost::beast::http::request_parser<
-      boost::beast::http::string_body>;
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void read();
   void parse();
@@ -46,19 +45,19 @@
   void linger();
   bool hasOpenRequests() const { return !Pipeline_.empty(); }
 
-  IngressServer &Server_;                  ///< Owner; outlives this.
-  boost::asio::ip::tcp::socket Socket_;    ///< Socket.
-  boost::beast::flat_buffer Buffer_;       ///< Received, not parsed.
-  std::optional<Parser> Parser_;           ///< Request being read.
+  IngressServer &Server_;                   ///< Owner; outlives this.
+  boost::asio::ip::tcp::socket Socket_;     ///< Socket.
+  boost::beast::flat_buffer Buffer_;        ///< Received, not parsed.
+  std::optional<Parser> Parser_;            ///< Request being read.
   std::deque<IngressExchangePtr> Pipeline_; ///< Not yet sent answers.
-  std::string Output_;                     ///< Being written.
-  Time LastActivity_;                      ///< Last byte in or out.
-  Time HeadStarted_;                       ///< First byte of the head read.
-  bool IsReading_ = false;                 ///< A read is outstanding.
-  bool IsWriting_ = false;                 ///< A write is outstanding.
-  bool IsLastRead_ = false;                ///< No request after these.
-  bool IsLingering_ = false;               ///< Sent all; waits for the client.
-  bool IsClosed_ = false;                  ///< Socket is closed.
+  std::string Output_;                      ///< Being written.
+  Time LastActivity_;                       ///< Last byte in or out.
+  Time HeadStarted_;                        ///< First byte of the head read.
+  bool IsReading_ = false;                  ///< A read is outstanding.
+  bool IsWriting_ = false;                  ///< A write is outstanding.
+  bool IsLastRead_ = false;                 ///< No request after these.
+  bool IsLingering_ = false;                ///< Sent all; waits for the client.
+  bool IsClosed_ = false;                   ///< Socket is closed.
 };
 
 } // namespace cranberry
--- a/src/net/ingress_server.cpp
+++ b/src/net/ingress_server.cpp
@@ -31,8 +31,7 @@
   if (Colon == std::string::npos)
     return std::nullopt;
   error_code Error;
-  auto Address =
-      boost::asio::ip::make_address_v4(Text.substr(0, Colon), Error);
+  auto Address = boost::asio::ip::make_address_v4(Text.substr(0, Colon), Error);
   uint16_t Port = 0;
   const char *Last = Text.data() + Text.size();
   auto [End, Parsed] = std::from_chars(Text.data() + Colon + 1, Last, Port);
--- a/src/net/ingress_server_base.h
+++ b/src/net/ingress_server_base.h
@@ -22,8 +22,8 @@
 
 /// Limits on what a client may send.
 struct IngressLimits {
-  size_t HeaderBytes_ = 16384;         ///< Largest head of a request.
-  size_t BodyBytes_ = 64U << 20;       ///< Largest body of a request.
+  size_t HeaderBytes_ = 16384;          ///< Largest head of a request.
+  size_t BodyBytes_ = 64U << 20;        ///< Largest body of a request.
   Duration HeaderTimeout_ = seconds(3); ///< From its first byte to its end.
   Duration IdleTimeout_ = seconds(15);  ///< Between requests.
 };
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -81,11 +81,9 @@
     Self->Connect_ = getNow() - Self->Opened_;
     error_code Ignored; // These options only save time.
     Self->Socket_.set_option(tcp::no_delay(true), Ignored);
-    Self->Socket_.set_option(
-        boost::asio::detail::socket_option::integer<IPPROTO_TCP,
-                                                    TCP_USER_TIMEOUT>(
-            UserTimeoutMs),
-        Ignored);
+    Self->Socket_.set_option(boost::asio::detail::socket_option::integer<
+                                 IPPROTO_TCP, TCP_USER_TIMEOUT>(UserTimeoutMs),
+                             Ignored);
     setKeepAlive(Self->Socket_);
     Self->startRequest();
     Self->read();
--- a/src/net/server_connection_base.h
+++ b/src/net/server_connection_base.h
@@ -40,8 +40,8 @@
   Time getIdleSince() const { return IdleSince_; }
 
 private:
-  using Parser = boost::beast::http::response_parser<
-      boost::beast::http::string_body>;
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void startRequest();
   void read();
--- a/src/platform/decode.cpp
+++ b/src/platform/decode.cpp
@@ -97,9 +97,9 @@
     return Found == Object_.end() ? nullptr : &*Found;
   }
 
-  const json &Object_;  ///< Being read.
-  Reason &Why_;         ///< First fault.
-  bool IsGood_ = true;  ///< No fault so far.
+  const json &Object_; ///< Being read.
+  Reason &Why_;        ///< First fault.
+  bool IsGood_ = true; ///< No fault so far.
 };
 
 /// Parses text in which single entries may hold bytes that are no text; these
@@ -245,8 +245,8 @@
 }
 
 std::optional<LookupQuestion> decodeLookup(const std::string &Target) {
-  std::pair<std::string, std::string> Parts = absl::StrSplit(
-      Target, absl::MaxSplits('?', 1));
+  std::pair<std::string, std::string> Parts =
+      absl::StrSplit(Target, absl::MaxSplits('?', 1));
   if (Parts.first != path::Lookup)
     return std::nullopt;
   LookupQuestion Result;
@@ -286,9 +286,8 @@
   Result.Revision_ = Object.Revision_;
   constexpr int Hexadecimal = 16;
   std::string Version = Fields.getString("version");
-  if (!Fields.isGood() ||
-      !absl::numbers_internal::safe_strtou64_base(Version, &Result.Version_,
-                                                  Hexadecimal)) {
+  if (!Fields.isGood() || !absl::numbers_internal::safe_strtou64_base(
+                              Version, &Result.Version_, Hexadecimal)) {
     Fields.fail("version", "not a hexadecimal number");
     return std::nullopt;
   }
--- a/src/platform/decode_func.h
+++ b/src/platform/decode_func.h
@@ -24,10 +24,10 @@
 
 /// What a server's response says of its request.
 struct ServerResponseInfo {
-  std::string AttemptId_;       ///< Request that it answers; may be empty.
-  bool IsSigned_ = false;       ///< Whether it bears the server's signature.
-  bool IsNotExecuted_ = false;  ///< Whether the server did not run it.
-  std::optional<LoadReport> Load_;   ///< Load, if told.
+  std::string AttemptId_;          ///< Request that it answers; may be empty.
+  bool IsSigned_ = false;          ///< Whether it bears the server's signature.
+  bool IsNotExecuted_ = false;     ///< Whether the server did not run it.
+  std::optional<LoadReport> Load_; ///< Load, if told.
   std::optional<Duration> ColdLeft_; ///< Rest of the cold phase, if told.
 };
 
@@ -68,8 +68,7 @@
 std::optional<StorePage> decodePage(const std::string &Body, Reason &Why);
 
 /// \return Changes of a watch, or nothing if \p Body is not one.
-std::optional<StoreChanges> decodeChanges(const std::string &Body,
-                                          Reason &Why);
+std::optional<StoreChanges> decodeChanges(const std::string &Body, Reason &Why);
 
 } // namespace cranberry::platform
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -18,13 +18,14 @@
 
 /// The store answers in milliseconds, and on its slow days in some hundreds;
 /// beyond this an answer is taken for lost.
-constexpr Duration CallTimeout = milliseconds(2000);
+constexpr Duration CallTimeout = milliseconds(1000);
 
 /// Beyond the wait that a watch asks for.
 constexpr Duration WatchSlack = milliseconds(1500);
 
-/// Longest wait for a connection; the store is at most 110 ms away.
-constexpr Duration ConnectTimeout = milliseconds(1000);
+/// Longest wait for a connection; the store is at most 110 ms away. A longer
+/// one would delay the return after a partition.
+constexpr Duration ConnectTimeout = milliseconds(400);
 
 /// The store's connections are kept for as long as it keeps them.
 constexpr Duration MaxIdle = seconds(10);
@@ -106,8 +107,7 @@
                        const std::string &Body, Duration Timeout,
                        StoreReplyHandler End) {
   ++Calls_;
-  std::optional<boost::asio::ip::tcp::endpoint> Store =
-      parseEndpoint(Address_);
+  std::optional<boost::asio::ip::tcp::endpoint> Store = parseEndpoint(Address_);
   if (!Store) {
     End({StoreStatus::Lost, "", "not an address: " + Address_});
     return;
@@ -128,8 +128,7 @@
   auto Handle = std::make_shared<AttemptHandle>();
   auto Shared = std::make_shared<StoreReplyHandler>(std::move(End));
   *Handle = Connections_.send(
-      Address_, *Store, std::move(Spec),
-      [Timer, Shared](AttemptResult Result) {
+      Address_, *Store, std::move(Spec), [Timer, Shared](AttemptResult Result) {
         Timer->cancel();
         StoreReplyHandler Reply = std::exchange(*Shared, nullptr);
         if (!Reply)
--- a/src/platform/store_client_base.h
+++ b/src/platform/store_client_base.h
@@ -22,7 +22,6 @@
 
 using StoreReplyHandler = std::function<void(StoreReply)>;
 
-
 /// Makes calls to one store. Each is one request; nothing is repeated here.
 class StoreClient {
 public:
@@ -64,7 +63,6 @@
   uint64_t Calls_ = 0;            ///< See getCalls().
 };
 
-
 } // namespace cranberry::platform
 
 #endif
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -8,8 +8,7 @@
 namespace header {
 inline constexpr const char *AttemptId = "X-Cranberrypost-Attempt-Id";
 inline constexpr const char *Affinity = "X-Cranberrypost-Affinity-Key";
-inline constexpr const char *Deadline =
-    "X-Cranberrypost-Deadline-Milliseconds";
+inline constexpr const char *Deadline = "X-Cranberrypost-Deadline-Milliseconds";
 /// The server's signature of a response.
 inline constexpr const char *Signature = "X-Cranberrypost-Server-Seal";
 inline constexpr const char *ExpectedInstance =
--- a/src/request/balanced_server_base.h
+++ b/src/request/balanced_server_base.h
@@ -33,8 +33,8 @@
   /// An attempt was sent.
   /// \param HomeRank Server's rank among the object's in its zone.
   /// \param Expected Predicted time until its answer.
-  void start(FlowIndex Flow, uint64_t Key, unsigned HomeRank,
-             Duration Expected, Time Now);
+  void start(FlowIndex Flow, uint64_t Key, unsigned HomeRank, Duration Expected,
+             Time Now);
 
   /// An attempt ended.
   /// \param Work Typical times of such a request.
@@ -79,12 +79,12 @@
 
 private:
   struct Attempt {
-    FlowIndex Flow_;         ///< Client's request.
-    Time Started_;           ///< When it was sent.
-    Duration Expected_;      ///< Predicted time until the answer.
-    uint64_t Key_;           ///< Hash of its object.
-    unsigned HomeRank_;      ///< See WorkSample.
-    Warmth Before_;          ///< Of its object when it was sent.
+    FlowIndex Flow_;          ///< Client's request.
+    Time Started_;            ///< When it was sent.
+    Duration Expected_;       ///< Predicted time until the answer.
+    uint64_t Key_;            ///< Hash of its object.
+    unsigned HomeRank_;       ///< See WorkSample.
+    Warmth Before_;           ///< Of its object when it was sent.
     bool IsReported_ = false; ///< By takeSuspects().
   };
 
@@ -93,20 +93,20 @@
                         const WorkEstimate &Work);
   void rest(Time Now);
 
-  BalancedServer Config_;         ///< Newest record.
-  std::vector<Attempt> Attempts_; ///< Under way.
-  WarmSet Warm_;                  ///< Objects sent there.
+  BalancedServer Config_;                 ///< Newest record.
+  std::vector<Attempt> Attempts_;         ///< Under way.
+  WarmSet Warm_;                          ///< Objects sent there.
   Duration MeanWork_ = milliseconds(150); ///< Smoothed time at the server.
-  RateGate ColdGate_;             ///< Starts while it is cold.
-  double Foreign_ = 0;            ///< Requests of others at ForeignAt_.
-  Time ForeignAt_;                ///< Last load report.
-  double Interference_ = 1;       ///< Of the last load report.
-  double Slowness_ = 1;           ///< Smoothed ratio of actual to expected.
-  double FailureShare_ = 0;       ///< Smoothed share of attempts that failed.
-  Time LastAnswer_;               ///< Last response of any kind.
-  Time RestUntil_;                ///< No attempts before.
-  Duration Rest_{0};              ///< Length of the last rest.
-  bool IsOnTrial_ = false;        ///< One attempt at a time until it answers.
+  RateGate ColdGate_;                     ///< Starts while it is cold.
+  double Foreign_ = 0;                    ///< Requests of others at ForeignAt_.
+  Time ForeignAt_;                        ///< Last load report.
+  double Interference_ = 1;               ///< Of the last load report.
+  double Slowness_ = 1;     ///< Smoothed ratio of actual to expected.
+  double FailureShare_ = 0; ///< Smoothed share of attempts that failed.
+  Time LastAnswer_;         ///< Last response of any kind.
+  Time RestUntil_;          ///< No attempts before.
+  Duration Rest_{0};        ///< Length of the last rest.
+  bool IsOnTrial_ = false;  ///< One attempt at a time until it answers.
 };
 
 } // namespace cranberry
--- a/src/request/balancer_type.h
+++ b/src/request/balancer_type.h
@@ -27,35 +27,35 @@
 
 /// A backend server that may be given work.
 struct BalancedServer {
-  std::string Id_;        ///< Instance.
-  std::string Zone_;      ///< Availability zone.
-  std::string Region_;    ///< Region.
+  std::string Id_;                            ///< Instance.
+  std::string Zone_;                          ///< Availability zone.
+  std::string Region_;                        ///< Region.
   Proximity Proximity_ = Proximity::SameZone; ///< Where it is.
-  Duration RoundTrip_{0}; ///< Way there and back.
-  unsigned Slots_ = 1;    ///< Concurrent requests that it runs.
-  Time ColdUntil_;        ///< End of its cold phase.
-  double ColdRate_ = 0;   ///< This VM's starts a second while it is cold.
-  int64_t BornMs_ = 0;    ///< Tells restarts under the same id.
+  Duration RoundTrip_{0};                     ///< Way there and back.
+  unsigned Slots_ = 1;  ///< Concurrent requests that it runs.
+  Time ColdUntil_;      ///< End of its cold phase.
+  double ColdRate_ = 0; ///< This VM's starts a second while it is cold.
+  int64_t BornMs_ = 0;  ///< Tells restarts under the same id.
 };
 
 /// A request that waits for a server.
 struct WaitingRequest {
-  FlowIndex Flow_;        ///< Client's request.
-  uint64_t Route_ = 0;    ///< Groups requests of similar length.
-  uint64_t Key_ = 0;      ///< Hash of its object; 0 for none.
-  Time Arrived_;          ///< When it reached this entry VM.
-  Time ObjectiveAt_;      ///< End of its latency objective.
-  Time Deadline_;         ///< When its answer is of no more use.
-  double Weight_ = 1;     ///< Worth of an answer in time.
-  bool IsOffered_ = false;              ///< Whether a server was tried.
-  std::vector<std::string> Homes_;      ///< Regions; empty for any.
-  std::vector<std::string> Tried_;      ///< Servers not to be used again.
+  FlowIndex Flow_;                 ///< Client's request.
+  uint64_t Route_ = 0;             ///< Groups requests of similar length.
+  uint64_t Key_ = 0;               ///< Hash of its object; 0 for none.
+  Time Arrived_;                   ///< When it reached this entry VM.
+  Time ObjectiveAt_;               ///< End of its latency objective.
+  Time Deadline_;                  ///< When its answer is of no more use.
+  double Weight_ = 1;              ///< Worth of an answer in time.
+  bool IsOffered_ = false;         ///< Whether a server was tried.
+  std::vector<std::string> Homes_; ///< Regions; empty for any.
+  std::vector<std::string> Tried_; ///< Servers not to be used again.
 };
 
 /// What a server told of its load.
 struct LoadReport {
-  unsigned Running_ = 0;   ///< Requests at work.
-  unsigned Queued_ = 0;    ///< Requests that wait in the server.
+  unsigned Running_ = 0;    ///< Requests at work.
+  unsigned Queued_ = 0;     ///< Requests that wait in the server.
   double Interference_ = 1; ///< Length of work now, relative to the usual.
 };
 
@@ -75,12 +75,12 @@
 
 /// An attempt has ended.
 struct EndedAttempt {
-  FlowIndex Flow_;       ///< Client's request.
-  uint64_t Route_ = 0;   ///< Groups requests of similar length.
+  FlowIndex Flow_;        ///< Client's request.
+  uint64_t Route_ = 0;    ///< Groups requests of similar length.
   Duration Objective_{0}; ///< Latency objective of the route.
-  std::string Server_;   ///< Instance.
+  std::string Server_;    ///< Instance.
   ServerVerdict Verdict_ = ServerVerdict::Lost; ///< How it ended.
-  Duration Ran_{0};                ///< From sending to the end.
+  Duration Ran_{0};                             ///< From sending to the end.
   std::optional<LoadReport> Load_; ///< What the server told, if it did.
 };
 
@@ -96,8 +96,8 @@
 
 /// Why a request is refused.
 enum class RefusalCause : uint8_t {
-  NoServer,  ///< No server may take it.
-  NoRoom,    ///< It would not be answered in time.
+  NoServer, ///< No server may take it.
+  NoRoom,   ///< It would not be answered in time.
 };
 
 /// Names of causes, in the order of the enum.
@@ -105,10 +105,10 @@
 
 /// Gives a request up before it was sent.
 struct RefuseRequest {
-  FlowIndex Flow_;     ///< Client's request.
-  RefusalCause Cause_; ///< Cause.
+  FlowIndex Flow_;      ///< Client's request.
+  RefusalCause Cause_;  ///< Cause.
   Duration RetryAfter_; ///< When there may be room.
-  unsigned Queue_;     ///< Requests that waited, for the log.
+  unsigned Queue_;      ///< Requests that waited, for the log.
 };
 
 /// The server of a request under way has gone silent.
--- a/src/request/repeat_budget_base.h
+++ b/src/request/repeat_budget_base.h
@@ -44,8 +44,8 @@
   /// \return Repeats left now.
   double getLeft(Time Now) {
     expire(Now);
-    return SafeShare * (Limits_.Ratio_ * RequestCount_ +
-                        Limits_.Slack_ / EntryVms_) -
+    return SafeShare *
+               (Limits_.Ratio_ * RequestCount_ + Limits_.Slack_ / EntryVms_) -
            RepeatCount_;
   }
 
@@ -80,12 +80,12 @@
     }
   }
 
-  RepeatLimits Limits_;    ///< Limits of all VMs together.
-  unsigned EntryVms_ = 1;  ///< Entry VMs that share them.
-  Counts Requests_;        ///< Requests by step.
-  Counts Repeats_;         ///< Repeats by step.
-  int RequestCount_ = 0;   ///< Sum of Requests_.
-  int RepeatCount_ = 0;    ///< Sum of Repeats_.
+  RepeatLimits Limits_;   ///< Limits of all VMs together.
+  unsigned EntryVms_ = 1; ///< Entry VMs that share them.
+  Counts Requests_;       ///< Requests by step.
+  Counts Repeats_;        ///< Repeats by step.
+  int RequestCount_ = 0;  ///< Sum of Requests_.
+  int RepeatCount_ = 0;   ///< Sum of Repeats_.
 };
 
 } // namespace cranberry
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -106,9 +106,9 @@
 }
 
 bool ServiceBalancer::withdraw(FlowIndex Flow) {
-  auto Found = std::find_if(
-      Waiting_.begin(), Waiting_.end(),
-      [Flow](const WaitingRequest &R) { return R.Flow_ == Flow; });
+  auto Found =
+      std::find_if(Waiting_.begin(), Waiting_.end(),
+                   [Flow](const WaitingRequest &R) { return R.Flow_ == Flow; });
   if (Found == Waiting_.end())
     return false;
   Waiting_.erase(Found);
@@ -142,8 +142,7 @@
                               Request.ObjectiveAt_ - Request.Arrived_);
 }
 
-double ServiceBalancer::getRank(const WaitingRequest &Request,
-                                Time Now) const {
+double ServiceBalancer::getRank(const WaitingRequest &Request, Time Now) const {
   Duration Work = getWork(Request).Fast_;
   bool InTime = Now + Work <= Request.ObjectiveAt_;
   double Worth = Request.Weight_ * (InTime ? 1 : LateShare);
@@ -155,10 +154,9 @@
   Order.reserve(Waiting_.size());
   for (size_t I = 0; I < Waiting_.size(); ++I)
     Order.emplace_back(getRank(Waiting_[I], Now), I);
-  std::stable_sort(Order.begin(), Order.end(),
-                   [](const auto &A, const auto &B) {
-                     return A.first > B.first;
-                   });
+  std::stable_sort(
+      Order.begin(), Order.end(),
+      [](const auto &A, const auto &B) { return A.first > B.first; });
   std::vector<WaitingRequest> Sorted;
   Sorted.reserve(Waiting_.size());
   for (const auto &[Rank, Index] : Order)
@@ -202,10 +200,11 @@
   return 0;
 }
 
-ServiceBalancer::Candidate
-ServiceBalancer::rate(const WaitingRequest &Request, const Home &Where,
-                      const WorkEstimate &Work, unsigned Planned,
-                      Time Now) const {
+ServiceBalancer::Candidate ServiceBalancer::rate(const WaitingRequest &Request,
+                                                 const Home &Where,
+                                                 const WorkEstimate &Work,
+                                                 unsigned Planned,
+                                                 Time Now) const {
   ServerState &Server = *Where.Server_;
   const BalancedServer &Config = Server.getConfig();
   double Factor = Server.getSlowness(Now);
--- a/src/request/service_balancer_base.h
+++ b/src/request/service_balancer_base.h
@@ -94,12 +94,12 @@
              std::vector<BalancerAction> &Out);
   void findSilent(Time Now, std::vector<BalancerAction> &Out);
 
-  ShiftGate &Gate_;                     ///< Bounds moves to other regions.
-  ServerMap Servers_;                   ///< By instance.
-  std::vector<ServerState *> Usable_;   ///< Those that may be given work.
+  ShiftGate &Gate_;                   ///< Bounds moves to other regions.
+  ServerMap Servers_;                 ///< By instance.
+  std::vector<ServerState *> Usable_; ///< Those that may be given work.
   absl::flat_hash_map<uint64_t, HomeList> Homes_; ///< By object, until the
                                                   ///< servers change.
-  HomeList AllServers_;                 ///< For requests without an object.
+  HomeList AllServers_;        ///< For requests without an object.
   double FirstHomeHits_ = 0.5; ///< Share of objects not sent from here that a
                                ///< first home had warm.
   unsigned AwayFromHome_ = 0;  ///< Requests served away from an idle first
--- a/src/request/shift_gate_base.h
+++ b/src/request/shift_gate_base.h
@@ -62,9 +62,9 @@
   /// A few requests are no shift.
   static constexpr double MinCount = 2;
 
-  double MaxStep_;          ///< See the constructor.
-  std::deque<Step> Steps_;  ///< Two windows.
-  Time OpenUntil_;          ///< No bound before.
+  double MaxStep_;         ///< See the constructor.
+  std::deque<Step> Steps_; ///< Two windows.
+  Time OpenUntil_;         ///< No bound before.
 };
 
 } // namespace cranberry
--- a/src/request/warm_set_base.h
+++ b/src/request/warm_set_base.h
@@ -98,8 +98,8 @@
     }
   }
 
-  KeyList Warm_;    ///< Newest first.
-  KeyList Evicted_; ///< Newest first.
+  KeyList Warm_;                               ///< Newest first.
+  KeyList Evicted_;                            ///< Newest first.
   absl::flat_hash_map<uint64_t, Entry> ByKey_; ///< Place of each.
   double Capacity_ = FirstCapacity;            ///< Learnt size.
 };
--- a/src/steering/peer_exchange.cpp
+++ b/src/steering/peer_exchange.cpp
@@ -77,20 +77,20 @@
   auto Timer = std::make_shared<boost::asio::steady_timer>(Loop_);
   auto Handle = std::make_shared<AttemptHandle>();
   auto IsOpen = std::make_shared<bool>(true);
-  *Handle = Connections_.send(
-      Address, *Peer, std::move(Spec),
-      [this, Timer, IsOpen, Address](AttemptResult Result) {
-        *IsOpen = false;
-        Timer->cancel();
-        std::optional<HeartbeatBody> Body;
-        if (Result.End_ == AttemptEnd::Answered)
-          Body = decodeHeartbeat(Result.Response_.body());
-        if (Body)
-          Membership_.receiveAnswer(*Body, getNow());
-        else
-          Membership_.noteFailure(Address, getNow());
-        noteChange();
-      });
+  *Handle =
+      Connections_.send(Address, *Peer, std::move(Spec),
+                        [this, Timer, IsOpen, Address](AttemptResult Result) {
+                          *IsOpen = false;
+                          Timer->cancel();
+                          std::optional<HeartbeatBody> Body;
+                          if (Result.End_ == AttemptEnd::Answered)
+                            Body = decodeHeartbeat(Result.Response_.body());
+                          if (Body)
+                            Membership_.receiveAnswer(*Body, getNow());
+                          else
+                            Membership_.noteFailure(Address, getNow());
+                          noteChange();
+                        });
   Timer->expires_after(AnswerTimeout);
   Timer->async_wait([this, Handle, IsOpen, Address](error_code Cancelled) {
     if (Cancelled || !*IsOpen)
--- a/src/steering/peer_exchange_base.h
+++ b/src/steering/peer_exchange_base.h
@@ -44,15 +44,15 @@
   void handle(const IngressExchangePtr &Exchange);
   void noteChange();
 
-  boost::asio::io_context &Loop_;    ///< Loop.
-  Duration Period_;                  ///< Between heartbeats.
-  EventLog &Log_;                    ///< Log.
-  std::function<void()> OnChange_;   ///< See the constructor.
-  Membership Membership_;            ///< Decides who is alive.
-  uint64_t ViewVersion_ = 0;         ///< Last one that was told.
-  IngressServer Server_;             ///< Port for other entry VMs.
-  ConnectionPool Connections_;       ///< To other entry VMs.
-  boost::asio::steady_timer Timer_;  ///< Next round.
+  boost::asio::io_context &Loop_;   ///< Loop.
+  Duration Period_;                 ///< Between heartbeats.
+  EventLog &Log_;                   ///< Log.
+  std::function<void()> OnChange_;  ///< See the constructor.
+  Membership Membership_;           ///< Decides who is alive.
+  uint64_t ViewVersion_ = 0;        ///< Last one that was told.
+  IngressServer Server_;            ///< Port for other entry VMs.
+  ConnectionPool Connections_;      ///< To other entry VMs.
+  boost::asio::steady_timer Timer_; ///< Next round.
 };
 
 } // namespace cranberry
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -92,10 +92,9 @@
   Config_ = std::move(Config);
   Routes_ = RouteTable(*Config_);
   std::erase_if(Pickers_, [this](const auto &Entry) {
-    return std::none_of(Config_->Routes_.begin(), Config_->Routes_.end(),
-                        [&](const RouteConfig &Route) {
-                          return Route.Name_ == Entry.first;
-                        });
+    return std::none_of(
+        Config_->Routes_.begin(), Config_->Routes_.end(),
+        [&](const RouteConfig &Route) { return Route.Name_ == Entry.first; });
   });
 }
 
@@ -124,8 +123,7 @@
 void RequestRouter::noteConnect(const ServerRecord &Server, Duration Took) {
   if (getProximity(Server.Zone_) != Proximity::OtherRegion)
     return;
-  auto [Found, IsNew] =
-      RoundTrips_.try_emplace(getRegion(Server.Zone_), Took);
+  auto [Found, IsNew] = RoundTrips_.try_emplace(getRegion(Server.Zone_), Took);
   Duration &Known = Found->second;
   if (!IsNew)
     Known = std::min(Took, Known + scale(Took - Known, RoundTripGain));
@@ -163,8 +161,8 @@
       if (Service.Name_ == Record.Service_)
         Rate = Service.ColdRate_;
   if (IsOurs)
-    Result.ColdRate_ = Rate * Settings_.ColdBurstFactor_ /
-                       static_cast<double>(Sharing);
+    Result.ColdRate_ =
+        Rate * Settings_.ColdBurstFactor_ / static_cast<double>(Sharing);
   return Result;
 }
 
@@ -211,9 +209,8 @@
     answerError(Exchange, BadRequest);
     return;
   }
-  std::optional<size_t> Index =
-      Routes_.find(toString(Message[http::field::host]),
-                   toString(Message.target()));
+  std::optional<size_t> Index = Routes_.find(
+      toString(Message[http::field::host]), toString(Message.target()));
   if (!Index) {
     Log_.write(Exchange->getArrived(), "no-route",
                {{"request", Info.AttemptId_},
@@ -237,8 +234,8 @@
   Open.Pool_ = &getPool(Route.Parts_[Part].Service_);
   Open.Id_ = Info.AttemptId_;
   Time Now = Exchange->getArrived();
-  Duration Limit = std::min(Route.Timeout_,
-                            Info.Patience_.value_or(Route.Timeout_));
+  Duration Limit =
+      std::min(Route.Timeout_, Info.Patience_.value_or(Route.Timeout_));
   WaitingRequest &Request = Open.Request_;
   Request.Flow_ = Open.Index_;
   Request.Route_ = absl::HashOf(Route.Name_, Open.Pool_->Name_);
@@ -253,8 +250,8 @@
     answerError(Exchange, Unavailable);
     return;
   }
-  Open.Timer_ = std::make_unique<boost::asio::steady_timer>(
-      Loop_, Request.Deadline_);
+  Open.Timer_ =
+      std::make_unique<boost::asio::steady_timer>(Loop_, Request.Deadline_);
   Open.Timer_->async_wait([this, At = Open.Index_](error_code Cancelled) {
     if (!Cancelled)
       expire(At);
@@ -420,22 +417,20 @@
     noteConnect(Server->second, *Result.Connect_);
   if (Outcome == AttemptOutcome::Deliver)
     return;
-  if (Outcome == AttemptOutcome::NotSent ||
-      Result.End_ == AttemptEnd::Broken)
+  if (Outcome == AttemptOutcome::NotSent || Result.End_ == AttemptEnd::Broken)
     Gate_.noteFailure(Now);
-  Log_.write(
-      Now, "attempt",
-      {{"request", Open.Id_},
-       {"route", Open.Route_->Name_},
-       {"service", Open.Pool_->Name_},
-       {"server", Attempt.Server_},
-       {"end", AttemptEndNames[static_cast<size_t>(Result.End_)]},
-       {"status", Result.Response_.result_int()},
-       {"outcome", AttemptOutcomeNames[static_cast<size_t>(Outcome)]},
-       {"ranMs", Ran},
-       {"reused", Result.OnReused_ ? 1 : 0},
-       {"attempt", Open.Arrivals_},
-       {"budgetLeft", Open.Pool_->Budget_.getLeft(Now)}});
+  Log_.write(Now, "attempt",
+             {{"request", Open.Id_},
+              {"route", Open.Route_->Name_},
+              {"service", Open.Pool_->Name_},
+              {"server", Attempt.Server_},
+              {"end", AttemptEndNames[static_cast<size_t>(Result.End_)]},
+              {"status", Result.Response_.result_int()},
+              {"outcome", AttemptOutcomeNames[static_cast<size_t>(Outcome)]},
+              {"ranMs", Ran},
+              {"reused", Result.OnReused_ ? 1 : 0},
+              {"attempt", Open.Arrivals_},
+              {"budgetLeft", Open.Pool_->Budget_.getLeft(Now)}});
 }
 
 void RequestRouter::endAttempt(FlowIndex Index, const std::string &Server,
@@ -444,9 +439,9 @@
   if (Found == Flows_.end())
     return;
   Flow &Open = *Found->second;
-  auto At = std::find_if(
-      Open.Attempts_.begin(), Open.Attempts_.end(),
-      [&](const OpenAttempt &A) { return A.Server_ == Server; });
+  auto At =
+      std::find_if(Open.Attempts_.begin(), Open.Attempts_.end(),
+                   [&](const OpenAttempt &A) { return A.Server_ == Server; });
   if (At == Open.Attempts_.end())
     return;
   OpenAttempt Attempt = std::move(*At);
@@ -465,10 +460,10 @@
 
 bool RequestRouter::tryRepeat(Flow &Open, AttemptOutcome Outcome) {
   Time Now = getNow();
-  Duration Work = Open.Pool_->Balancer_.getHistory()
-                      .getEstimate(Open.Request_.Route_,
-                                   Open.Route_->Objective_)
-                      .Fast_;
+  Duration Work =
+      Open.Pool_->Balancer_.getHistory()
+          .getEstimate(Open.Request_.Route_, Open.Route_->Objective_)
+          .Fast_;
   if (Open.Request_.Deadline_ - Now < scale(Work, RepeatTimeShare))
     return false;
   if (Outcome == AttemptOutcome::NotSent) {
@@ -527,14 +522,14 @@
     return;
   Flow &Open = *Found->second;
   ++Stats_.TimedOut_;
-  Log_.write(getNow(), "timeout",
-             {{"request", Open.Id_},
-              {"route", Open.Route_->Name_},
-              {"service", Open.Pool_->Name_},
-              {"server",
-               Open.Attempts_.empty() ? "" : Open.Attempts_.back().Server_},
-              {"attempt", Open.Arrivals_},
-              {"waiting", Open.IsWaiting_ ? 1 : 0}});
+  Log_.write(
+      getNow(), "timeout",
+      {{"request", Open.Id_},
+       {"route", Open.Route_->Name_},
+       {"service", Open.Pool_->Name_},
+       {"server", Open.Attempts_.empty() ? "" : Open.Attempts_.back().Server_},
+       {"attempt", Open.Arrivals_},
+       {"waiting", Open.IsWaiting_ ? 1 : 0}});
   if (Open.Failure_ && Open.Attempts_.empty())
     deliver(Open, std::move(*Open.Failure_));
   else if (Open.MayHaveRun_ || !Open.Attempts_.empty())
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -40,8 +40,8 @@
 /// Carries out what the balancers decide, for all services of an entry VM.
 class RequestRouter {
 public:
-  RequestRouter(boost::asio::io_context &Loop,
-                const Settings &Settings, EventLog &Log);
+  RequestRouter(boost::asio::io_context &Loop, const Settings &Settings,
+                EventLog &Log);
 
   /// Takes over a version of the configuration.
   void setRouting(RoutingConfigPtr Config);
@@ -81,32 +81,32 @@
     ServiceBalancer Balancer_; ///< Decides.
     RepeatBudget Budget_;      ///< Bounds repeats.
     absl::flat_hash_map<std::string, ServerRecord> Servers_; ///< By instance.
-    std::unique_ptr<boost::asio::steady_timer> Wake_; ///< Next step.
-    Time WakeAt_ = Time::max();                       ///< When it is due.
-    bool IsStepPosted_ = false;                       ///< A step is queued.
+    std::unique_ptr<boost::asio::steady_timer> Wake_;        ///< Next step.
+    Time WakeAt_ = Time::max(); ///< When it is due.
+    bool IsStepPosted_ = false; ///< A step is queued.
   };
 
   /// An attempt under way.
   struct OpenAttempt {
-    std::string Server_;   ///< Instance.
-    Time Started_;         ///< When it was sent.
-    AttemptHandle Handle_; ///< To cancel it by.
+    std::string Server_;    ///< Instance.
+    Time Started_;          ///< When it was sent.
+    AttemptHandle Handle_;  ///< To cancel it by.
     bool IsRepeat_ = false; ///< Whether another server was tried before.
   };
 
   /// A client's request that has not been answered.
   struct Flow {
-    FlowIndex Index_;             ///< Its number.
-    IngressExchangePtr Exchange_; ///< Where the answer goes.
-    RoutingConfigPtr Config_;     ///< Version that it is handled by.
+    FlowIndex Index_;                    ///< Its number.
+    IngressExchangePtr Exchange_;        ///< Where the answer goes.
+    RoutingConfigPtr Config_;            ///< Version that it is handled by.
     const RouteConfig *Route_ = nullptr; ///< Route in that version.
-    ServicePool *Pool_ = nullptr; ///< Service.
-    std::string Id_;              ///< Client's id of it.
-    WaitingRequest Request_;      ///< What the balancer knows of it.
+    ServicePool *Pool_ = nullptr;        ///< Service.
+    std::string Id_;                     ///< Client's id of it.
+    WaitingRequest Request_;             ///< What the balancer knows of it.
     std::vector<OpenAttempt> Attempts_;  ///< Under way.
-    unsigned Arrivals_ = 0;       ///< Servers that it was sent to.
-    bool IsWaiting_ = false;      ///< At the balancer.
-    bool MayHaveRun_ = false;     ///< An attempt ended as unknown.
+    unsigned Arrivals_ = 0;              ///< Servers that it was sent to.
+    bool IsWaiting_ = false;             ///< At the balancer.
+    bool MayHaveRun_ = false;            ///< An attempt ended as unknown.
     std::unique_ptr<ResponseMessage> Failure_; ///< Server's own failure.
     std::unique_ptr<boost::asio::steady_timer> Timer_; ///< Its deadline.
   };
@@ -145,19 +145,19 @@
   BalancedServer makeBalanced(const UsableServer &Server,
                               const MemberList &Members) const;
 
-  boost::asio::io_context &Loop_;       ///< Loop.
-  const Settings &Settings_;    ///< Settings.
-  EventLog &Log_;                       ///< Log.
-  ConnectionPool Connections_;          ///< To servers.
-  ShiftGate Gate_;                      ///< Bounds moves between regions.
-  RoutingConfigPtr Config_;             ///< In force; null before the first.
-  RouteTable Routes_;                   ///< Its routes.
+  boost::asio::io_context &Loop_; ///< Loop.
+  const Settings &Settings_;      ///< Settings.
+  EventLog &Log_;                 ///< Log.
+  ConnectionPool Connections_;    ///< To servers.
+  ShiftGate Gate_;                ///< Bounds moves between regions.
+  RoutingConfigPtr Config_;       ///< In force; null before the first.
+  RouteTable Routes_;             ///< Its routes.
   std::map<std::string, std::unique_ptr<ServicePool>> Pools_; ///< By service.
   std::map<std::string, PartPicker> Pickers_;                 ///< By route.
-  absl::flat_hash_map<uint64_t, FlowPtr> Flows_; ///< Not answered.
-  std::map<std::string, Duration> RoundTrips_;   ///< Measured, by region.
+  absl::flat_hash_map<uint64_t, FlowPtr> Flows_;              ///< Not answered.
+  std::map<std::string, Duration> RoundTrips_; ///< Measured, by region.
   std::function<void(const std::string &)> OnMisdirected_; ///< See setter.
-  Time End_ = Time::max(); ///< See setEnd().
+  Time End_ = Time::max();                                 ///< See setEnd().
   uint64_t NextFlow_ = 1; ///< Number of the next flow.
   RouterStats Stats_;     ///< Figures.
 };
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -20,9 +20,9 @@
 namespace {
 
 /// Servers write to the store every second or two, so a watch on them always
-/// has an answer. This pace keeps a server's leaving within a third of the
-/// shortest bound on it.
-constexpr Duration ServerPace = milliseconds(700);
+/// has an answer, and each is priced. The pace is this share of the time in
+/// which a leaving server must get no more work.
+constexpr double ServerPaceShare = 0.45;
 
 /// Longest wait of a watch on servers. It is answered far sooner, so that one
 /// that is not finds out a store or a connection that has gone silent.
@@ -51,8 +51,9 @@
 } // namespace
 
 SteeringVm::SteeringVm(Settings Config, uint64_t Incarnation)
-    : Settings_(std::move(Config)), Loop_(1), Log_(STDOUT_FILENO, Settings_.Vm_),
-      Store_(Loop_, Settings_.Platform_), Router_(Loop_, Settings_, Log_),
+    : Settings_(std::move(Config)), Loop_(1),
+      Log_(STDOUT_FILENO, Settings_.Vm_), Store_(Loop_, Settings_.Platform_),
+      Router_(Loop_, Settings_, Log_),
       Peers_(Loop_, makeSelf(Incarnation), Settings_.HeartbeatPeriod_, Log_,
              [this] { takeMembers(); }),
       Front_(Loop_, [this](const IngressExchangePtr &E) { Router_.handle(E); }),
@@ -104,7 +105,7 @@
 StoreFollower SteeringVm::makeServerFollower() {
   FollowPlan Plan;
   Plan.Kind_ = platform::kind::Servers;
-  Plan.Pace_ = ServerPace;
+  Plan.Pace_ = scale(Settings_.ServerDrain_, ServerPaceShare);
   Plan.Wait_ = ServerWait;
   FollowHandlers Handlers;
   Handlers.OnList_ = [this](const std::vector<StoreObject> &Objects) {
@@ -264,9 +265,9 @@
   std::string Zones;
   for (const std::string &Zone : Evacuated_)
     Zones += (Zones.empty() ? "" : " ") + Zone;
-  Log_.write(getNow(), "evacuations",
-             {{"zones", Zones},
-              {"revision", EvacuationFollower_.getRevision()}});
+  Log_.write(
+      getNow(), "evacuations",
+      {{"zones", Zones}, {"revision", EvacuationFollower_.getRevision()}});
   Registry_.setEvacuated(Evacuated_, getColdDuration(), getNow());
   if (!Evacuated_.empty())
     Router_.noteFailure();
@@ -319,8 +320,8 @@
     return;
   }
   Log_.write(getNow(), "announce-failed",
-             {{"status", platform::StoreStatusNames[static_cast<size_t>(
-                             Reply.Status_)]},
+             {{"status",
+               platform::StoreStatusNames[static_cast<size_t>(Reply.Status_)]},
               {"text", Reply.Text_}});
   Announce_.expires_after(AnnounceRetry);
   Announce_.async_wait([this](error_code Cancelled) {
@@ -370,10 +371,10 @@
   Router_.setEnd(getNow() + scale(Settings_.StopGrace_, EndShare));
   Store_.remove(platform::kind::EntryVms, Settings_.Vm_,
                 [](const StoreReply &) {});
-  Log_.write(getNow(), "stop",
-             {{"openRequests", static_cast<uint64_t>(Router_.getOpenFlows())},
-              {"connections",
-               static_cast<uint64_t>(Front_.getConnectionCount())}});
+  Log_.write(
+      getNow(), "stop",
+      {{"openRequests", static_cast<uint64_t>(Router_.getOpenFlows())},
+       {"connections", static_cast<uint64_t>(Front_.getConnectionCount())}});
 }
 
 void SteeringVm::finishStop() {
@@ -405,8 +406,8 @@
     Exchange->answer(makeResponse(isReady() ? Ok : Unavailable, ""));
 }
 
-std::vector<std::string> SteeringVm::getAddresses(
-    const platform::LookupQuestion &Question) const {
+std::vector<std::string>
+SteeringVm::getAddresses(const platform::LookupQuestion &Question) const {
   // The nearest group that has a VM takes all; one that is doubted only serves
   // where no other is left.
   std::vector<std::string> Groups[4];
@@ -415,10 +416,10 @@
     if (Vm.State_ == MemberState::Leaving || (IsSelf && !isReady()))
       continue;
     bool IsDoubted = Vm.State_ == MemberState::Suspect;
-    size_t Group = IsDoubted                          ? 3
-                   : Vm.Zone_ == Question.Zone_       ? 0
-                   : Vm.Region_ == Question.Region_   ? 1
-                                                      : 2;
+    size_t Group = IsDoubted                        ? 3
+                   : Vm.Zone_ == Question.Zone_     ? 0
+                   : Vm.Region_ == Question.Region_ ? 1
+                                                    : 2;
     Groups[Group].push_back(Vm.HttpAddress_);
   }
   for (std::vector<std::string> &Group : Groups) {
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -60,30 +60,30 @@
   getAddresses(const platform::LookupQuestion &Question) const;
   Duration getColdDuration() const;
 
-  Settings Settings_;             ///< Settings.
-  boost::asio::io_context Loop_;  ///< Loop.
-  EventLog Log_;                  ///< Log.
-  platform::StoreClient Store_;   ///< Store.
-  ServerRegistry Registry_;       ///< Servers.
-  std::set<std::string> Evacuated_; ///< Zones that get no work.
-  RoutingConfigPtr Config_;       ///< In force.
-  RequestRouter Router_;          ///< Request path.
-  PeerExchange Peers_;            ///< Other entry VMs.
-  IngressServer Front_;           ///< Port for clients.
-  IngressServer Readiness_;       ///< Port for readiness checks.
-  IngressServer Directory_;       ///< Port for look-ups.
-  StoreFollower ConfigFollower_;     ///< Follows the configuration.
-  StoreFollower ServerFollower_;     ///< Follows the servers.
-  StoreFollower EvacuationFollower_; ///< Follows evacuations.
-  StoreFollower VmFollower_;         ///< Follows the entry VMs.
-  boost::asio::steady_timer Tick_;   ///< Periodic work.
+  Settings Settings_;                  ///< Settings.
+  boost::asio::io_context Loop_;       ///< Loop.
+  EventLog Log_;                       ///< Log.
+  platform::StoreClient Store_;        ///< Store.
+  ServerRegistry Registry_;            ///< Servers.
+  std::set<std::string> Evacuated_;    ///< Zones that get no work.
+  RoutingConfigPtr Config_;            ///< In force.
+  RequestRouter Router_;               ///< Request path.
+  PeerExchange Peers_;                 ///< Other entry VMs.
+  IngressServer Front_;                ///< Port for clients.
+  IngressServer Readiness_;            ///< Port for readiness checks.
+  IngressServer Directory_;            ///< Port for look-ups.
+  StoreFollower ConfigFollower_;       ///< Follows the configuration.
+  StoreFollower ServerFollower_;       ///< Follows the servers.
+  StoreFollower EvacuationFollower_;   ///< Follows evacuations.
+  StoreFollower VmFollower_;           ///< Follows the entry VMs.
+  boost::asio::steady_timer Tick_;     ///< Periodic work.
   boost::asio::steady_timer Announce_; ///< Next try to announce this VM.
-  boost::asio::signal_set Signals_;  ///< Stop and reload.
-  uint64_t RegistryVersion_ = 0;     ///< Last one that the router got.
-  size_t MemberCount_ = 0;           ///< Entry VMs at the last change.
-  bool MembersChanged_ = true;       ///< Since the router got them.
-  bool IsStopping_ = false;          ///< A planned stop has begun.
-  Time StopBy_;                      ///< End of the planned stop.
+  boost::asio::signal_set Signals_;    ///< Stop and reload.
+  uint64_t RegistryVersion_ = 0;       ///< Last one that the router got.
+  size_t MemberCount_ = 0;             ///< Entry VMs at the last change.
+  bool MembersChanged_ = true;         ///< Since the router got them.
+  bool IsStopping_ = false;            ///< A planned stop has begun.
+  Time StopBy_;                        ///< End of the planned stop.
 };
 
 } // namespace cranberry
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -15,9 +15,11 @@
 namespace {
 
 /// Waits after failures: the first is short, as most failures are a cut
-/// connection; the longest keeps a change within half its time limit.
+/// connection. A store that can't be reached costs nothing to try; one that
+/// refuses is asked less often.
 constexpr Duration FirstBackoff = milliseconds(50);
-constexpr Duration LongestBackoff = milliseconds(800);
+constexpr Duration LongestBackoffLost = milliseconds(250);
+constexpr Duration LongestBackoffRefused = milliseconds(800);
 
 } // namespace
 
@@ -126,15 +128,17 @@
 void StoreFollower::retry(StoreStatus Status, const std::string &Text) {
   if (!IsLost_) {
     IsLost_ = true;
-    Log_.write(getNow(), "store-lost",
-               {{"kind", Plan_.Kind_},
-                {"status", platform::StoreStatusNames[static_cast<size_t>(
-                               Status)]},
-                {"text", Text},
-                {"revision", Revision_}});
+    Log_.write(
+        getNow(), "store-lost",
+        {{"kind", Plan_.Kind_},
+         {"status", platform::StoreStatusNames[static_cast<size_t>(Status)]},
+         {"text", Text},
+         {"revision", Revision_}});
     Handlers_.OnLost_();
   }
-  Backoff_ = std::clamp(Backoff_ * 2, FirstBackoff, LongestBackoff);
+  Backoff_ = std::clamp(Backoff_ * 2, FirstBackoff,
+                        Status == StoreStatus::Lost ? LongestBackoffLost
+                                                    : LongestBackoffRefused);
   // A watch resumed after a failure may wait on history that the store has
   // dropped meanwhile, and would not hear of it before the next change.
   after(Backoff_, &StoreFollower::list);
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -16,9 +16,9 @@
 
 /// How a kind is followed.
 struct FollowPlan {
-  std::string Kind_;   ///< Kind of objects.
-  Duration Pace_{0};   ///< Least time between two watches. Each is priced, and
-                       ///< one answer brings all changes since the last.
+  std::string Kind_; ///< Kind of objects.
+  Duration Pace_{0}; ///< Least time between two watches. Each is priced, and
+                     ///< one answer brings all changes since the last.
   Duration Wait_ = seconds(20); ///< Longest wait at the store.
 };
 
@@ -63,18 +63,18 @@
   guard(void (StoreFollower::*Take)(const platform::StoreReply &));
   void after(Duration Wait, void (StoreFollower::*Next)());
 
-  platform::StoreClient &Store_;    ///< Store.
-  FollowPlan Plan_;                 ///< Plan.
-  FollowHandlers Handlers_;         ///< Owner's.
-  EventLog &Log_;                   ///< Log.
-  boost::asio::steady_timer Timer_; ///< Next call.
+  platform::StoreClient &Store_;              ///< Store.
+  FollowPlan Plan_;                           ///< Plan.
+  FollowHandlers Handlers_;                   ///< Owner's.
+  EventLog &Log_;                             ///< Log.
+  boost::asio::steady_timer Timer_;           ///< Next call.
   std::vector<platform::StoreObject> Listed_; ///< Pages so far.
-  Revision Revision_ = 0;    ///< See getRevision().
-  uint64_t Generation_ = 0;  ///< Replies to calls of earlier ones are dropped.
-  Time LastWatch_;           ///< Start of the last watch.
-  Duration Backoff_{0};      ///< Last wait after a failure.
-  bool IsKnown_ = false;     ///< See isKnown().
-  bool IsLost_ = false;      ///< The last call failed.
+  Revision Revision_ = 0;                     ///< See getRevision().
+  uint64_t Generation_ = 0; ///< Replies to calls of earlier ones are dropped.
+  Time LastWatch_;          ///< Start of the last watch.
+  Duration Backoff_{0};     ///< Last wait after a failure.
+  bool IsKnown_ = false;    ///< See isKnown().
+  bool IsLost_ = false;     ///< The last call failed.
 };
 
 } // namespace cranberry
--- a/src/version/routing_type.h
+++ b/src/version/routing_type.h
@@ -43,10 +43,11 @@
 
 /// Bounds on what a client may send.
 struct ClientLimits {
-  size_t HeaderBytes_ = 16384;          ///< Largest head of a request.
-  size_t BodyBytes_ = 64U << 20;        ///< Largest body of a request.
-  Duration HeaderTimeout_ = seconds(3); ///< From a head's first byte to its end.
-  Duration IdleTimeout_ = seconds(15);  ///< Between requests.
+  size_t HeaderBytes_ = 16384;   ///< Largest head of a request.
+  size_t BodyBytes_ = 64U << 20; ///< Largest body of a request.
+  Duration HeaderTimeout_ =
+      seconds(3);                      ///< From a head's first byte to its end.
+  Duration IdleTimeout_ = seconds(15); ///< Between requests.
 };
 
 /// One version. Never changed after it is built.
--- a/src/version/server_registry_base.h
+++ b/src/version/server_registry_base.h
@@ -71,11 +71,11 @@
 
 private:
   struct Entry {
-    ServerRecord Record_;          ///< Newest record.
-    Time ColdUntil_;               ///< See UsableServer.
-    bool SaysLeaving_ = false;     ///< See noteLeaving().
-    std::optional<Time> GoneAt_;   ///< Entry lapsed; end of its grace.
-    bool IsLapsed_ = false;        ///< Entry lapsed while the store was away.
+    ServerRecord Record_;        ///< Newest record.
+    Time ColdUntil_;             ///< See UsableServer.
+    bool SaysLeaving_ = false;   ///< See noteLeaving().
+    std::optional<Time> GoneAt_; ///< Entry lapsed; end of its grace.
+    bool IsLapsed_ = false;      ///< Entry lapsed while the store was away.
   };
 
   void store(const ServerRecord &Record, Time Now);
--- a/standin/object_store.cpp
+++ b/standin/object_store.cpp
@@ -230,9 +230,7 @@
     Items.push_back(toJson(It->first, It->second));
   }
   reply(Exchange, Ok,
-        {{"items", Items},
-         {"hasMore", HasMore},
-         {"storeRevision", Revision_}});
+        {{"items", Items}, {"hasMore", HasMore}, {"storeRevision", Revision_}});
 }
 
 void ObjectStore::write(const IngressExchangePtr &Exchange,
@@ -263,8 +261,8 @@
   change(Kind, Target, IsDelete ? nullptr : &Next);
   if (Mode_ == StoreMode::LoseWrites)
     return;
-  reply(Exchange, Ok, IsDelete ? json::object()
-                               : toJson(Target, Objects[Target]));
+  reply(Exchange, Ok,
+        IsDelete ? json::object() : toJson(Target, Objects[Target]));
 }
 
 bool ObjectStore::answerWatch(const Watch &Waiting) {
--- a/standin/object_store_base.h
+++ b/standin/object_store_base.h
@@ -16,10 +16,10 @@
 
 /// How the store treats calls.
 enum class StoreMode : uint8_t {
-  Serve,    ///< Answers.
-  Refuse,   ///< Answers 503; nothing is done.
-  Throttle, ///< Answers 429; nothing is done.
-  Silent,   ///< Reads calls and never answers.
+  Serve,      ///< Answers.
+  Refuse,     ///< Answers 503; nothing is done.
+  Throttle,   ///< Answers 429; nothing is done.
+  Silent,     ///< Reads calls and never answers.
   LoseWrites, ///< Does writes and never answers them.
 };
 
@@ -55,7 +55,7 @@
 
 private:
   struct Object {
-    nlohmann::json Body_;  ///< What its writer put there.
+    nlohmann::json Body_;   ///< What its writer put there.
     uint64_t Revision_ = 0; ///< Last change.
     uint64_t Created_ = 0;  ///< First revision.
   };
--- a/standin/route_client.cpp
+++ b/standin/route_client.cpp
@@ -15,8 +15,7 @@
 
 namespace cranberry::standin {
 
-template <typename Start>
-bool RouteClient::await(Duration Limit, Start Begin) {
+template <typename Start> bool RouteClient::await(Duration Limit, Start Begin) {
   std::optional<error_code> End;
   Begin([&End](error_code Error, auto &&...) { End = Error; });
   Loop_.restart();
--- a/standin/route_client_base.h
+++ b/standin/route_client_base.h
@@ -15,19 +15,19 @@
 
 /// What a client sends.
 struct ClientCall {
-  std::string Method_;  ///< Method.
-  std::string Target_;  ///< Path and query.
-  std::string Id_ = ""; ///< Id of the attempt; no field if empty.
+  std::string Method_;   ///< Method.
+  std::string Target_;   ///< Path and query.
+  std::string Id_ = "";  ///< Id of the attempt; no field if empty.
   std::string Key_ = ""; ///< Affinity key; no field if empty.
   Duration Patience_{0}; ///< Told deadline; no field if zero.
 };
 
 /// What a client got.
 struct ClientReply {
-  unsigned Status_ = 0;     ///< Status, or 0 without a whole answer.
-  std::string Body_;        ///< Body.
-  std::string Signature_;   ///< Server's signature, if any.
-  double RetryAfter_ = -1;  ///< Seconds, if told.
+  unsigned Status_ = 0;       ///< Status, or 0 without a whole answer.
+  std::string Body_;          ///< Body.
+  std::string Signature_;     ///< Server's signature, if any.
+  double RetryAfter_ = -1;    ///< Seconds, if told.
   bool WasConnected_ = false; ///< Whether there was a connection.
 };
 
@@ -54,8 +54,8 @@
   bool write(const ClientCall &Call, Duration Limit);
   template <typename Start> bool await(Duration Limit, Start Begin);
 
-  std::string Address_;           ///< "address:port".
-  boost::asio::io_context Loop_;  ///< Loop of this client.
+  std::string Address_;          ///< "address:port".
+  boost::asio::io_context Loop_; ///< Loop of this client.
   std::unique_ptr<boost::asio::ip::tcp::socket> Socket_; ///< Null if closed.
   boost::beast::flat_buffer Buffer_; ///< Received, not parsed.
 };
--- a/standin/routed_fleet.cpp
+++ b/standin/routed_fleet.cpp
@@ -80,8 +80,8 @@
 void RoutedFleet::start(size_t Vm) {
   FleetVm &Target = *Vms_[Vm];
   Target.Process_ = std::make_unique<ChildProcess>(
-      std::vector<std::string>{
-          Daemon_, "--settings", Directory_ + "/" + Target.Name_ + ".json"},
+      std::vector<std::string>{Daemon_, "--settings",
+                               Directory_ + "/" + Target.Name_ + ".json"},
       getLogPath(Vm), getLogPath(Vm));
 }
 
--- a/standin/routed_fleet_base.h
+++ b/standin/routed_fleet_base.h
@@ -52,8 +52,7 @@
 public:
   /// \param Daemon Path of the daemon's program.
   /// \param Directory Where settings files and logs go.
-  RoutedFleet(const FleetPlan &Plan, std::string Daemon,
-              std::string Directory);
+  RoutedFleet(const FleetPlan &Plan, std::string Daemon, std::string Directory);
 
   /// Starts an entry VM's process.
   void start(size_t Vm);
@@ -80,13 +79,13 @@
 private:
   void writeSettings(const FleetVm &Vm) const;
 
-  FleetPlan Plan_;         ///< Plan.
-  std::string Daemon_;     ///< Program.
-  std::string Directory_;  ///< For files.
-  ObjectStore Store_;      ///< Store.
-  std::vector<FleetServer> Servers_;           ///< Servers.
-  std::vector<std::unique_ptr<FleetVm>> Vms_;  ///< Entry VMs.
-  unsigned Version_ = 0;                       ///< Last configuration.
+  FleetPlan Plan_;                            ///< Plan.
+  std::string Daemon_;                        ///< Program.
+  std::string Directory_;                     ///< For files.
+  ObjectStore Store_;                         ///< Store.
+  std::vector<FleetServer> Servers_;          ///< Servers.
+  std::vector<std::unique_ptr<FleetVm>> Vms_; ///< Entry VMs.
+  unsigned Version_ = 0;                      ///< Last configuration.
 };
 
 /// \return A route of a configuration.
--- a/standin/routed_server.cpp
+++ b/standin/routed_server.cpp
@@ -101,8 +101,8 @@
     return;
   }
   ++Running_;
-  auto Timer = std::make_shared<boost::asio::steady_timer>(Thread_.getLoop(),
-                                                           Work_);
+  auto Timer =
+      std::make_shared<boost::asio::steady_timer>(Thread_.getLoop(), Work_);
   Exchange->setOnGone([this, Timer] {
     ++Cancelled_;
     Timer->cancel();
@@ -123,8 +123,9 @@
   }
   bool IsFailure = Fault_ == AnswerFault::Fail;
   std::string Id = toString(Message[platform::header::AttemptId]);
-  ResponseMessage Response = makeResponse(
-      IsFailure ? Failed : Ok, absl::StrCat(Id, " ", toString(Message.target())));
+  ResponseMessage Response =
+      makeResponse(IsFailure ? Failed : Ok,
+                   absl::StrCat(Id, " ", toString(Message.target())));
   Response.set(platform::header::AttemptId, Id);
   if (Fault_ != AnswerFault::Unsigned)
     Response.set(platform::header::Signature, Id_);
--- a/standin/routed_server_base.h
+++ b/standin/routed_server_base.h
@@ -16,12 +16,12 @@
 
 /// What goes wrong with a server's answers.
 enum class AnswerFault : uint8_t {
-  None,      ///< Nothing.
-  Refuse,    ///< Refuses without running, and says so.
-  Lose,      ///< Runs and closes the connection without an answer.
-  Unsigned,  ///< Runs and answers without its signature.
-  Fail,      ///< Runs and answers 500.
-  Silent,    ///< Runs and never answers.
+  None,     ///< Nothing.
+  Refuse,   ///< Refuses without running, and says so.
+  Lose,     ///< Runs and closes the connection without an answer.
+  Unsigned, ///< Runs and answers without its signature.
+  Fail,     ///< Runs and answers 500.
+  Silent,   ///< Runs and never answers.
 };
 
 /// One run of a request.
@@ -64,17 +64,17 @@
   void run(const IngressExchangePtr &Exchange);
   void finish(const IngressExchangePtr &Exchange);
 
-  std::string Id_;                    ///< Instance.
-  unsigned Slots_;                    ///< Requests that run at once.
-  Duration Work_;                     ///< Time of each.
+  std::string Id_;                        ///< Instance.
+  unsigned Slots_;                        ///< Requests that run at once.
+  Duration Work_;                         ///< Time of each.
   AnswerFault Fault_ = AnswerFault::None; ///< Current fault.
-  unsigned Running_ = 0;              ///< Requests at work.
-  unsigned Arrivals_ = 0;             ///< Requests read.
-  unsigned Cancelled_ = 0;            ///< See getCancelled().
-  std::vector<ServerRun> Runs_;       ///< All runs.
-  std::vector<IngressExchangePtr> Held_; ///< Never answered.
-  std::string Address_;               ///< As bound.
-  LoopThread Thread_;                 ///< All state belongs to it.
+  unsigned Running_ = 0;                  ///< Requests at work.
+  unsigned Arrivals_ = 0;                 ///< Requests read.
+  unsigned Cancelled_ = 0;                ///< See getCancelled().
+  std::vector<ServerRun> Runs_;           ///< All runs.
+  std::vector<IngressExchangePtr> Held_;  ///< Never answered.
+  std::string Address_;                   ///< As bound.
+  LoopThread Thread_;                     ///< All state belongs to it.
   std::unique_ptr<IngressServer> Server_; ///< Port.
 };
 
--- a/test/process/steering_test.cpp
+++ b/test/process/steering_test.cpp
@@ -225,9 +225,9 @@
         F.call(Client, "/read/x" + std::to_string(I), F.makeId());
       RouteClient Fresh(F.Fleet_.vm(0).FrontLink_->getAddress());
       for (int I = 0; I < 16; ++I)
-        Fresh.call({"GET", "/read/x", F.makeId(), std::to_string(I),
-                    seconds(3)},
-                   seconds(10));
+        Fresh.call(
+            {"GET", "/read/x", F.makeId(), std::to_string(I), seconds(3)},
+            seconds(10));
       return GetLeaving() > Before;
     }));
     if (IsRemoved)
@@ -288,24 +288,22 @@
   REQUIRE(F.waitUntil([&] {
     unsigned Before = GetInZone();
     for (int I = 0; I < 8; ++I)
-      Client.call({"GET", "/read/x", F.makeId(), std::to_string(I),
-                   seconds(3)},
+      Client.call({"GET", "/read/x", F.makeId(), std::to_string(I), seconds(3)},
                   seconds(10));
     return GetInZone() == Before;
   }));
   unsigned Before = GetInZone();
   for (int I = 0; I < 40; ++I)
-    CHECK(Client
-              .call({"GET", "/read/x", F.makeId(), std::to_string(I),
-                     seconds(3)},
-                    seconds(10))
-              .Status_ == 200);
+    CHECK(
+        Client
+            .call({"GET", "/read/x", F.makeId(), std::to_string(I), seconds(3)},
+                  seconds(10))
+            .Status_ == 200);
   CHECK(GetInZone() == Before);
   F.Fleet_.store().remove("evacuations", "north-a");
   CHECK(F.waitUntil([&] {
     for (int I = 0; I < 8; ++I)
-      Client.call({"GET", "/read/x", F.makeId(), std::to_string(I),
-                   seconds(3)},
+      Client.call({"GET", "/read/x", F.makeId(), std::to_string(I), seconds(3)},
                   seconds(10));
     return GetInZone() > Before;
   }));
@@ -375,9 +373,8 @@
     Clock.pause(milliseconds(50));
   }
   // What does not come back is gone.
-  CHECK(F.waitUntil([&] {
-    return F.call(Client, "/read/x", F.makeId()).Status_ == 503;
-  }));
+  CHECK(F.waitUntil(
+      [&] { return F.call(Client, "/read/x", F.makeId()).Status_ == 503; }));
 }
 
 TEST_CASE("steering: another server at a known address runs nothing") {
@@ -391,11 +388,11 @@
   Servers[0].Link_->setMode(LinkMode::Pass);
   RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
   for (int I = 0; I < 40; ++I)
-    CHECK(Client
-              .call({"GET", "/read/x", F.makeId(), std::to_string(I),
-                     seconds(3)},
-                    seconds(10))
-              .Status_ == 200);
+    CHECK(
+        Client
+            .call({"GET", "/read/x", F.makeId(), std::to_string(I), seconds(3)},
+                  seconds(10))
+            .Status_ == 200);
   CHECK(Other.getRuns().empty());
 }
 
--- a/test/unit/routing_test.cpp
+++ b/test/unit/routing_test.cpp
@@ -51,10 +51,14 @@
 }
 
 json makeServer() {
-  return {{"service", "one"},      {"address", "10.0.0.1:80"},
-          {"zone", "north-a"},     {"version", "v1"},
-          {"slots", 5},            {"state", "ready"},
-          {"coldRemaining", "2s"}, {"sequence", 4},
+  return {{"service", "one"},
+          {"address", "10.0.0.1:80"},
+          {"zone", "north-a"},
+          {"version", "v1"},
+          {"slots", 5},
+          {"state", "ready"},
+          {"coldRemaining", "2s"},
+          {"sequence", 4},
           {"born", 1700000000000}};
 }
 
@@ -150,9 +154,9 @@
   CHECK(Good->ColdLeft_ == seconds(2));
   CHECK(Good->BornMs_ == 1700000000000);
   const std::pair<const char *, json> Rows[] = {
-      {"service", 3},   {"address", nullptr}, {"zone", json::array()},
-      {"slots", "5"},   {"slots", 0},         {"state", "asleep"},
-      {"state", 1},     {"coldRemaining", 3}, {"born", "now"},
+      {"service", 3}, {"address", nullptr}, {"zone", json::array()},
+      {"slots", "5"}, {"slots", 0},         {"state", "asleep"},
+      {"state", 1},   {"coldRemaining", 3}, {"born", "now"},
   };
   for (const auto &[Field, Value] : Rows) {
     json Body = makeServer();
@@ -295,8 +299,7 @@
 TEST_CASE("entries that lapse while the store is away are kept for a grace") {
   ServerRegistry Registry;
   Time Now{};
-  Registry.replaceAll({makeRecord("a"), makeRecord("b"),
-                       makeRecord("d", true)},
+  Registry.replaceAll({makeRecord("a"), makeRecord("b"), makeRecord("d", true)},
                       Now);
   Registry.noteStoreLost();
   Now += seconds(5);
--- a/test/unit/service_balancer_test.cpp
+++ b/test/unit/service_balancer_test.cpp
@@ -35,7 +35,8 @@
   Time Now_{seconds(100)};
   uint64_t NextFlow_ = 1;
 
-  WaitingRequest make(uint64_t Key = 0, Duration Objective = milliseconds(400)) {
+  WaitingRequest make(uint64_t Key = 0,
+                      Duration Objective = milliseconds(400)) {
     WaitingRequest Request;
     Request.Flow_ = FlowIndex(NextFlow_++);
     Request.Route_ = 1;
--- a/test/unit/steering_connection_test.cpp
+++ b/test/unit/steering_connection_test.cpp
@@ -21,7 +21,8 @@
 constexpr Duration Patience = seconds(20);
 
 /// Runs a loop until a condition holds.
-template <typename F> bool runUntil(boost::asio::io_context &Loop, F Condition) {
+template <typename F>
+bool runUntil(boost::asio::io_context &Loop, F Condition) {
   Time End = getNow() + Patience;
   while (!Condition() && getNow() < End) {
     Loop.restart();
@@ -35,14 +36,14 @@
 public:
   /// What is sent for one request, and whether the connection then ends.
   struct Step {
-    std::string Bytes_;     ///< Bytes.
-    bool Closes_ = false;   ///< Orderly close afterwards.
-    bool Resets_ = false;   ///< Reset afterwards.
+    std::string Bytes_;   ///< Bytes.
+    bool Closes_ = false; ///< Orderly close afterwards.
+    bool Resets_ = false; ///< Reset afterwards.
   };
 
   ScriptedPeer(boost::asio::io_context &Loop, std::deque<Step> Steps)
-      : Acceptor_(Loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(),
-                                      0)),
+      : Acceptor_(Loop,
+                  tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
         Steps_(std::move(Steps)) {
     accept();
   }
@@ -55,9 +56,9 @@
 private:
   struct Session {
     explicit Session(tcp::socket Socket) : Socket_(std::move(Socket)) {}
-    tcp::socket Socket_;  ///< Socket.
-    std::string Input_;   ///< Read.
-    std::string Output_;  ///< Being written.
+    tcp::socket Socket_; ///< Socket.
+    std::string Input_;  ///< Read.
+    std::string Output_; ///< Being written.
   };
 
   void accept() {
@@ -95,8 +96,8 @@
         });
   }
 
-  tcp::acceptor Acceptor_;  ///< Listens.
-  std::deque<Step> Steps_;  ///< What is still to be sent.
+  tcp::acceptor Acceptor_; ///< Listens.
+  std::deque<Step> Steps_; ///< What is still to be sent.
 };
 
 std::string makeAnswer(const std::string &Id, const std::string &Body,
@@ -209,8 +210,9 @@
     ScriptedPeer Peer(
         Loop, {{makeAnswer("1", "one") + Extra}, {makeAnswer("2", "two")}});
     ConnectionPool Pool(Loop);
-    CHECK(send(Loop, Pool, Peer.getEndpoint(), makeSpec("1"))
-              .Response_.body() == "one");
+    CHECK(
+        send(Loop, Pool, Peer.getEndpoint(), makeSpec("1")).Response_.body() ==
+        "one");
     AttemptResult Second = send(Loop, Pool, Peer.getEndpoint(), makeSpec("2"));
     CHECK(Second.Response_.body() == "two");
     CHECK(Peer.Connections_ == 2);
@@ -226,8 +228,7 @@
   const Row Rows[] = {
       {"closed without a byte", {"", true, false}, AttemptEnd::Broken},
       {"reset without a byte", {"", false, true}, AttemptEnd::Broken},
-      {"cut in its head", {"HTTP/1.1 200 O", true, false},
-       AttemptEnd::Garbled},
+      {"cut in its head", {"HTTP/1.1 200 O", true, false}, AttemptEnd::Garbled},
       {"cut in its body",
        {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf", true,
         false},
@@ -237,7 +238,8 @@
         "half",
         true, false},
        AttemptEnd::Garbled},
-      {"no answer at all", {"nonsense\r\n\r\n", true, false},
+      {"no answer at all",
+       {"nonsense\r\n\r\n", true, false},
        AttemptEnd::Garbled},
       {"without an id",
        {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, false},
@@ -359,8 +361,7 @@
 TEST_CASE("ingress: a client's leaving is told while its requests wait") {
   boost::asio::io_context Loop;
   Ingress Ports(Loop);
-  auto Client =
-      std::make_unique<RawClient>(Loop, Ports.Server_.getAddress());
+  auto Client = std::make_unique<RawClient>(Loop, Ports.Server_.getAddress());
   Client->write(makeGet("/1") + makeGet("/2"));
   REQUIRE(runUntil(Loop, [&] { return Ports.Open_.size() == 2; }));
   int Gone = 0;
--- a/test/unit/steering_decision_test.cpp
+++ b/test/unit/steering_decision_test.cpp
@@ -180,7 +180,8 @@
     Duration Objective = milliseconds(400);
     double Slow = Fast * 3.3;
     for (int I = 0; I < 400; ++I) {
-      double Length = (Random() % 2 ? Fast : Slow) * (0.8 + Random() % 40 / 100.);
+      double Length =
+          (Random() % 2 ? Fast : Slow) * (0.8 + Random() % 40 / 100.);
       if (Random() % 33 == 0)
         Length *= 7; // A straggler.
       History.note(1, Duration(static_cast<int64_t>(Length * 1000)), true,
@@ -219,8 +220,8 @@
   for (int I = 0; I < 1000; ++I)
     Log.write(Now, "refuse", {{"request", "a\"b\n"}, {"waitedMs", 1.5}});
   Log.write(Now, "start", {});
-  size_t Lines = std::count(Log.getPending().begin(), Log.getPending().end(),
-                            '\n');
+  size_t Lines =
+      std::count(Log.getPending().begin(), Log.getPending().end(), '\n');
   CHECK(Lines == EventLog::LinesPerSecond + 1);
   CHECK(Log.getPending().find("\"request\":\"a\\\"b\\u000a\"") !=
         std::string::npos);
