--- a/src/daemon/caller_api_base.h
+++ b/src/daemon/caller_api_base.h
@@ -3,10 +3,10 @@
 #define CRANBERRY_DAEMON_CALLER_API_BASE_H
 
 #include "daemon/call_type.h"
-#include "observe/metrics_base.h"
 #include "daemon/settings_type.h"
 #include "daemon/snapshot_type.h"
 #include "net/http_type.h"
+#include "observe/metrics_base.h"
 
 #include <atomic>
 #include <functional>
--- a/src/daemon/control_thread_base.h
+++ b/src/daemon/control_thread_base.h
@@ -2,12 +2,12 @@
 #ifndef CRANBERRY_DAEMON_CONTROL_THREAD_BASE_H
 #define CRANBERRY_DAEMON_CONTROL_THREAD_BASE_H
 
-#include "observe/metrics_base.h"
 #include "daemon/platform_client_base.h"
 #include "daemon/settings_type.h"
 #include "daemon/snapshot_type.h"
 #include "net/event_loop_base.h"
 #include "net/peer_link_base.h"
+#include "observe/metrics_base.h"
 #include "process/membership_base.h"
 #include "version/configuration_func.h"
 #include "version/object_store_base.h"
--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -5,13 +5,13 @@
 #include "core/result_type.h"
 #include "daemon/caller_api_base.h"
 #include "daemon/control_thread_base.h"
-#include "observe/metrics_base.h"
 #include "daemon/operator_api_base.h"
 #include "daemon/settings_type.h"
 #include "daemon/snapshot_type.h"
 #include "daemon/traffic_thread_base.h"
 #include "net/http_server_base.h"
 #include "net/peer_link_base.h"
+#include "observe/metrics_base.h"
 
 #include <atomic>
 #include <memory>
--- a/src/daemon/operator_api_base.h
+++ b/src/daemon/operator_api_base.h
@@ -3,11 +3,11 @@
 #define CRANBERRY_DAEMON_OPERATOR_API_BASE_H
 
 #include "daemon/control_thread_base.h"
-#include "observe/metrics_base.h"
 #include "daemon/settings_type.h"
 #include "daemon/snapshot_type.h"
 #include "daemon/traffic_thread_base.h"
 #include "net/http_type.h"
+#include "observe/metrics_base.h"
 
 #include <memory>
 #include <vector>
--- a/src/daemon/platform_client_base.h
+++ b/src/daemon/platform_client_base.h
@@ -3,8 +3,8 @@
 #define CRANBERRY_DAEMON_PLATFORM_CLIENT_BASE_H
 
 #include "core/result_type.h"
-#include "observe/metrics_base.h"
 #include "net/event_loop_base.h"
+#include "observe/metrics_base.h"
 #include "version/object_type.h"
 
 #include <functional>
--- a/src/daemon/service_traffic_base.h
+++ b/src/daemon/service_traffic_base.h
@@ -3,11 +3,11 @@
 #define CRANBERRY_DAEMON_SERVICE_TRAFFIC_BASE_H
 
 #include "daemon/call_type.h"
-#include "observe/metrics_base.h"
 #include "daemon/settings_type.h"
 #include "daemon/snapshot_type.h"
 #include "net/event_loop_base.h"
 #include "net/peer_link_base.h"
+#include "observe/metrics_base.h"
 #include "process/link_budget_base.h"
 #include "request/dispatcher_base.h"
 #include "request/idempotency_table_base.h"
--- a/src/request/balancer_type.h
+++ b/src/request/balancer_type.h
@@ -105,10 +105,10 @@
 
 /// Gives a request up before it was sent.
 struct RefuseRequest {
-  FlowIndex Flow_;      ///< Client's request.
-  RefusalCause Cause_;  ///< Cause.
-  Duration RetryAfter_; ///< When there may be room.
-  unsigned Queue_;      ///< Requests that waited, for the log.
+  FlowIndex Flow_;        ///< Client's request.
+  RefusalCause Cause_;    ///< Cause.
+  Duration RetryAfter_;   ///< When there may be room.
+  unsigned Queue_;        ///< Requests that waited, for the log.
   Duration Predicted_{0}; ///< Predicted time until an answer, for the log.
 };
 
--- a/src/steering/client_flow_type.h
+++ b/src/steering/client_flow_type.h
@@ -21,9 +21,9 @@
 struct ServicePool {
   explicit ServicePool(ShiftGate &Gate) : Balancer_(Gate) {}
 
-  std::string Name_;         ///< Service.
-  ServiceBalancer Balancer_; ///< Decides.
-  RepeatBudget Budget_;      ///< Bounds repeats.
+  std::string Name_;                                       ///< Service.
+  ServiceBalancer Balancer_;                               ///< Decides.
+  RepeatBudget Budget_;                                    ///< Bounds repeats.
   absl::flat_hash_map<std::string, ServerRecord> Servers_; ///< By instance.
   std::unique_ptr<boost::asio::steady_timer> Wake_;        ///< Next step.
   Time WakeAt_ = Time::max();                              ///< When it is due.
@@ -52,7 +52,7 @@
   bool IsWaiting_ = false;             ///< At the balancer.
   bool MayHaveRun_ = false;            ///< An attempt ended as unknown.
   std::string LastServer_;             ///< Of the last attempt.
-  std::unique_ptr<ResponseMessage> Failure_; ///< Server's own failure.
+  std::unique_ptr<ResponseMessage> Failure_;         ///< Server's own failure.
   std::unique_ptr<boost::asio::steady_timer> Timer_; ///< Its deadline.
 };
 
--- a/src/steering/peer_exchange.cpp
+++ b/src/steering/peer_exchange.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-PeerExchange::PeerExchange(boost::asio::io_context &Loop, Member Self,
+PeerExchange::PeerExchange(boost::asio::io_context &Loop, const Member &Self,
                            Duration Period, EventLog &Log,
                            std::function<void()> OnChange)
     : Loop_(Loop), Period_(Period), Log_(Log), OnChange_(std::move(OnChange)),
--- a/src/steering/peer_exchange_base.h
+++ b/src/steering/peer_exchange_base.h
@@ -2,9 +2,9 @@
 #ifndef CRANBERRY_STEERING_PEER_EXCHANGE_BASE_H
 #define CRANBERRY_STEERING_PEER_EXCHANGE_BASE_H
 
-#include "observe/event_log_base.h"
 #include "net/connection_pool_base.h"
 #include "net/ingress_server_base.h"
+#include "observe/event_log_base.h"
 #include "process/membership_base.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -19,8 +19,8 @@
 class PeerExchange {
 public:
   /// \param OnChange Called after the list of members has changed.
-  PeerExchange(boost::asio::io_context &Loop, Member Self, Duration Period,
-               EventLog &Log, std::function<void()> OnChange);
+  PeerExchange(boost::asio::io_context &Loop, const Member &Self,
+               Duration Period, EventLog &Log, std::function<void()> OnChange);
 
   /// Opens the port for other entry VMs and starts to send.
   /// \param Address Where to listen.
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -69,10 +69,9 @@
   Config_ = std::move(Config);
   Routes_ = RouteTable(*Config_);
   std::erase_if(Pickers_, [this](const auto &Entry) {
-    return std::none_of(Config_->Routes_.begin(), Config_->Routes_.end(),
-                        [&](const RouteConfig &Route) {
-                          return Route.Name_ == Entry.first;
-                        });
+    return std::none_of(
+        Config_->Routes_.begin(), Config_->Routes_.end(),
+        [&](const RouteConfig &Route) { return Route.Name_ == Entry.first; });
   });
 }
 
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -70,7 +70,8 @@
   void perform(ServicePool &Pool, const StartAttempt &Start);
   void perform(ServicePool &Pool, const RefuseRequest &Refuse);
   void perform(ServicePool &Pool, const SuspectAttempt &Suspect);
-  AttemptSpec makeSpec(const ClientFlow &Flow, const ServerRecord &Server) const;
+  AttemptSpec makeSpec(const ClientFlow &Flow,
+                       const ServerRecord &Server) const;
   void endAttempt(FlowIndex Index, const std::string &Server,
                   AttemptResult Result);
   void noteEnd(ClientFlow &Flow, const OpenAttempt &Attempt,
@@ -99,10 +100,10 @@
   std::map<std::string, std::unique_ptr<ServicePool>> Pools_; ///< By service.
   std::map<std::string, PartPicker> Pickers_;                 ///< By route.
   absl::flat_hash_map<uint64_t, std::unique_ptr<ClientFlow>>
-      Flows_; ///< Not answered.
+      Flows_;                                              ///< Not answered.
   std::function<void(const std::string &)> OnMisdirected_; ///< See setter.
-  Time End_ = Time::max(); ///< See setEnd().
-  uint64_t NextFlow_ = 1;  ///< Number of the next flow.
+  Time End_ = Time::max();                                 ///< See setEnd().
+  uint64_t NextFlow_ = 1; ///< Number of the next flow.
 };
 
 } // namespace cranberry
--- a/src/steering/server_locator_base.h
+++ b/src/steering/server_locator_base.h
@@ -40,7 +40,7 @@
 private:
   double getColdShare(const ServerRecord &Record, const MemberList &Vms) const;
 
-  const Settings &Settings_; ///< Zones, and where this VM is.
+  const Settings &Settings_;                   ///< Zones, and where this VM is.
   std::map<std::string, Duration> RoundTrips_; ///< Measured, by far region.
 };
 
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -56,8 +56,7 @@
                  [this](const IngressExchangePtr &E) { answerLookup(E); }),
       MetricsPort_(Loop_,
                    [this](const IngressExchangePtr &E) { answerMetrics(E); }),
-      Tick_(Loop_), Announce_(Loop_),
-      Signals_(Loop_, SIGTERM, SIGINT, SIGHUP) {
+      Tick_(Loop_), Announce_(Loop_), Signals_(Loop_, SIGTERM, SIGINT, SIGHUP) {
   Router_.setOnMisdirected([this](const std::string &Server) {
     View_.noteLeaving(Server);
     refresh();
@@ -159,8 +158,8 @@
     return;
   }
   Log_.write(getNow(), "announce-failed",
-             {{"status", platform::StoreStatusNames[static_cast<size_t>(
-                             Reply.Status_)]},
+             {{"status",
+               platform::StoreStatusNames[static_cast<size_t>(Reply.Status_)]},
               {"text", Reply.Text_}});
   Announce_.expires_after(AnnounceRetry);
   Announce_.async_wait([this](error_code Cancelled) {
@@ -212,10 +211,10 @@
   Router_.setEnd(getNow() + scale(Settings_.StopGrace_, EndShare));
   Store_.remove(platform::kind::EntryVms, Settings_.Vm_,
                 [](const StoreReply &) {});
-  Log_.write(getNow(), "stop",
-             {{"openRequests", static_cast<uint64_t>(Router_.getOpenFlows())},
-              {"connections",
-               static_cast<uint64_t>(Front_.getConnectionCount())}});
+  Log_.write(
+      getNow(), "stop",
+      {{"openRequests", static_cast<uint64_t>(Router_.getOpenFlows())},
+       {"connections", static_cast<uint64_t>(Front_.getConnectionCount())}});
 }
 
 void SteeringVm::finishStop() {
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -51,18 +51,18 @@
   void answerLookup(const IngressExchangePtr &Exchange);
   void answerMetrics(const IngressExchangePtr &Exchange);
 
-  Settings Settings_;            ///< Settings.
-  boost::asio::io_context Loop_; ///< Loop.
-  EventLog Log_;                 ///< Log.
-  Metrics Metrics_;              ///< Counters.
-  platform::StoreClient Store_;  ///< Store.
-  StoreView View_;               ///< What is known from it.
-  RequestRouter Router_;         ///< Request path.
-  PeerExchange Peers_;           ///< Other entry VMs.
-  IngressServer Front_;          ///< Port for clients.
-  IngressServer Readiness_;      ///< Port for readiness checks.
-  IngressServer Directory_;      ///< Port for look-ups.
-  IngressServer MetricsPort_;    ///< Port for metrics.
+  Settings Settings_;                  ///< Settings.
+  boost::asio::io_context Loop_;       ///< Loop.
+  EventLog Log_;                       ///< Log.
+  Metrics Metrics_;                    ///< Counters.
+  platform::StoreClient Store_;        ///< Store.
+  StoreView View_;                     ///< What is known from it.
+  RequestRouter Router_;               ///< Request path.
+  PeerExchange Peers_;                 ///< Other entry VMs.
+  IngressServer Front_;                ///< Port for clients.
+  IngressServer Readiness_;            ///< Port for readiness checks.
+  IngressServer Directory_;            ///< Port for look-ups.
+  IngressServer MetricsPort_;          ///< Port for metrics.
   boost::asio::steady_timer Tick_;     ///< Periodic work.
   boost::asio::steady_timer Announce_; ///< Next try to announce this VM.
   boost::asio::signal_set Signals_;    ///< Stop and reload.
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -2,8 +2,8 @@
 #ifndef CRANBERRY_STEERING_STORE_FOLLOWER_BASE_H
 #define CRANBERRY_STEERING_STORE_FOLLOWER_BASE_H
 
-#include "observe/event_log_base.h"
 #include "core/time_type.h"
+#include "observe/event_log_base.h"
 #include "platform/store_client_base.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -74,7 +74,7 @@
   std::vector<platform::StoreObject> Listed_; ///< Pages so far.
   Revision Revision_ = 0;                     ///< See getRevision().
   uint64_t Generation_ = 0; ///< Replies to calls of earlier ones are dropped.
-  Time LastHeard_;        ///< Last answer.
+  Time LastHeard_;          ///< Last answer.
   Time LastWatch_;          ///< Start of the last watch.
   Duration Backoff_{0};     ///< Last wait after a failure.
   bool IsKnown_ = false;    ///< See isKnown().
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -211,9 +211,9 @@
   std::string Zones;
   for (const std::string &Zone : Evacuated_)
     Zones += (Zones.empty() ? "" : " ") + Zone;
-  Log_.write(getNow(), "evacuations",
-             {{"zones", Zones},
-              {"revision", EvacuationFollower_.getRevision()}});
+  Log_.write(
+      getNow(), "evacuations",
+      {{"zones", Zones}, {"revision", EvacuationFollower_.getRevision()}});
   Registry_.setEvacuated(Evacuated_, getColdDuration(), getNow());
   if (!Evacuated_.empty())
     Handlers_.OnFailure_();
--- a/src/steering/store_view_base.h
+++ b/src/steering/store_view_base.h
@@ -40,9 +40,7 @@
   void tick();
 
   /// A server proved to be another one, or to be leaving.
-  void noteLeaving(const std::string &Server) {
-    Registry_.noteLeaving(Server);
-  }
+  void noteLeaving(const std::string &Server) { Registry_.noteLeaving(Server); }
 
   const ServerRegistry &getRegistry() const { return Registry_; }
 
@@ -53,9 +51,7 @@
   uint64_t getVersion() const { return Config_ ? Config_->Version_ : 0; }
 
   /// \return Time since the servers were heard of.
-  Duration getServerAge(Time Now) const {
-    return ServerFollower_.getAge(Now);
-  }
+  Duration getServerAge(Time Now) const { return ServerFollower_.getAge(Now); }
 
 private:
   FollowHandlers makeConfigHandlers();
--- /dev/null
+++ b/test/soak/soak_checks.cpp
@@ -0,0 +1,120 @@
+/// \file soak_checks.cpp What callers and servers must never see.
+#include "test/soak/soak_checks_base.h"
+
+#include <algorithm>
+
+using cranberry::standin::FleetServer;
+using cranberry::standin::ServerRun;
+
+namespace cranberry::test {
+
+namespace {
+
+constexpr unsigned FirstSuccess = 200;
+constexpr unsigned FirstRedirect = 300;
+
+bool isSuccess(unsigned Status) {
+  return Status >= FirstSuccess && Status < FirstRedirect;
+}
+
+bool saysNotRun(unsigned Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+} // namespace
+
+void SoakChecks::note(const SeenCall &Call) {
+  std::lock_guard Lock(Mutex_);
+  Calls_[Call.Id_] = Call;
+  if (!isSuccess(Call.Reply_.Status_))
+    return;
+  if (Call.Reply_.Body_ != Call.Id_ + " " + Call.Target_)
+    fail("another answer than its own: " + Call.Id_);
+  if (Call.Reply_.Signature_.empty())
+    fail("a success without the server's signature: " + Call.Id_);
+}
+
+void SoakChecks::expectNoWork(const std::string &Server, Time From, Time To) {
+  std::lock_guard Lock(Mutex_);
+  Quiets_.push_back({Server, From, To});
+}
+
+size_t SoakChecks::countServed(Time From) {
+  std::lock_guard Lock(Mutex_);
+  return static_cast<size_t>(
+      std::count_if(Calls_.begin(), Calls_.end(), [From](const auto &Entry) {
+        return Entry.second.Sent_ >= From &&
+               isSuccess(Entry.second.Reply_.Status_);
+      }));
+}
+
+void SoakChecks::judgeBudget(std::vector<FleetServer> &Servers) {
+  // As in the fleet's settings.
+  constexpr double Ratio = 0.2;
+  constexpr double Slack = 30;
+  constexpr Duration Window = seconds(10);
+  std::map<std::string, std::vector<Time>> Requests;
+  for (const auto &[Id, Call] : Calls_)
+    Requests[Call.Service_].push_back(Call.Sent_);
+  std::map<std::string, std::map<std::string, std::vector<Time>>> Runs;
+  for (FleetServer &Each : Servers)
+    for (const ServerRun &Run : Each.Server_->getRuns())
+      Runs[Each.Service_][Run.AttemptId_].push_back(Run.At_);
+  for (auto &[Service, ByRequest] : Runs) {
+    std::vector<Time> Repeats;
+    for (auto &[Id, Times] : ByRequest) {
+      std::sort(Times.begin(), Times.end());
+      Repeats.insert(Repeats.end(), Times.begin() + 1, Times.end());
+    }
+    std::sort(Repeats.begin(), Repeats.end());
+    std::vector<Time> &Sent = Requests[Service];
+    std::sort(Sent.begin(), Sent.end());
+    for (size_t I = 0; I < Repeats.size(); ++I) {
+      Time To = Repeats[I];
+      auto CountIn = [To, Window](const std::vector<Time> &Times) {
+        return static_cast<double>(
+            std::upper_bound(Times.begin(), Times.end(), To) -
+            std::upper_bound(Times.begin(), Times.end(), To - Window));
+      };
+      if (CountIn(Repeats) > Ratio * CountIn(Sent) + Slack) {
+        fail("repeats of " + Service + " beyond the budget");
+        return;
+      }
+    }
+  }
+}
+
+std::vector<std::string> SoakChecks::judge(std::vector<FleetServer> &Servers) {
+  std::lock_guard Lock(Mutex_);
+  std::map<std::string, unsigned> Runs;
+  for (FleetServer &Each : Servers)
+    for (const ServerRun &Run : Each.Server_->getRuns()) {
+      ++Runs[Run.AttemptId_];
+      auto Call = Calls_.find(Run.AttemptId_);
+      if (Call == Calls_.end())
+        continue; // Its client was ended with the soak.
+      if (Call->second.Target_ != Run.Target_)
+        fail("another request than was sent: " + Run.AttemptId_);
+      if (Call->second.Service_ != Each.Service_)
+        fail("run by a service of another route: " + Run.AttemptId_);
+      for (const Quiet &Still : Quiets_)
+        if (Still.Server_ == Each.Server_->getId() && Run.At_ > Still.From_ &&
+            Run.At_ < Still.To_ && Call->second.Sent_ > Still.From_)
+          fail("work for a server that leaves: " + Run.AttemptId_ + " at " +
+               Still.Server_);
+    }
+  for (const auto &[Id, Call] : Calls_) {
+    auto Found = Runs.find(Id);
+    unsigned Count = Found == Runs.end() ? 0 : Found->second;
+    if (Count > 1 && !Call.IsIdempotent_)
+      fail("ran " + std::to_string(Count) + " times: " + Id);
+    if (Count > 0 && !Call.IsIdempotent_ && saysNotRun(Call.Reply_.Status_))
+      fail("said not to have run, and ran: " + Id);
+    if (Count > 2)
+      fail("sent to more servers than its route allows: " + Id);
+  }
+  judgeBudget(Servers);
+  return Broken_;
+}
+
+} // namespace cranberry::test
--- /dev/null
+++ b/test/soak/soak_main.cpp
@@ -0,0 +1,280 @@
+/// \file soak_main.cpp Entry VMs under faults drawn from a seed.
+#include "net/ingress_server_base.h"
+#include "test/soak/soak_checks_base.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/program_options.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <random>
+#include <thread>
+
+using namespace cranberry;
+using namespace cranberry::standin;
+using namespace cranberry::test;
+using nlohmann::json;
+
+namespace {
+
+/// Time in which a leaving server gets no more work, and what the soak adds
+/// for the way of a request that was under way.
+constexpr Duration DrainBound = milliseconds(2500);
+
+/// Faults end this long before a check that needs calm.
+constexpr Duration CalmBefore = milliseconds(4000);
+
+/// After the last fault the fleet is back within this time.
+constexpr Duration RecoveryBound = seconds(15);
+
+/// One seed's run.
+class Soak {
+public:
+  Soak(unsigned Seed, Duration Length, const std::string &Daemon,
+       const std::string &Directory)
+      : Random_(Seed), Length_(Length),
+        Fleet_({{"north-a", "north-a", "north-b", "south-a"},
+                {"one", "two"},
+                2,
+                4,
+                milliseconds(15)},
+               Daemon, Directory) {}
+
+  /// \return What was broken.
+  std::vector<std::string> run() {
+    configure();
+    for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
+      Fleet_.start(I);
+    for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
+      if (!Fleet_.waitReady(I, seconds(20)))
+        return {absl::StrCat("entry VM ", I, " did not start")};
+    std::vector<std::thread> Clients;
+    for (unsigned I = 0; I < ClientCount; ++I)
+      Clients.emplace_back([this, I] { runClient(I); });
+    End_ = getNow() + Length_;
+    while (getNow() < End_)
+      injectOne();
+    calm();
+    Time Calm = getNow();
+    checkLeaving();
+    Clock_.pause(std::max(Duration(0), Calm + RecoveryBound - getNow()));
+    Time Recovered = getNow();
+    Clock_.pause(seconds(1));
+    IsStopping_ = true;
+    for (std::thread &Each : Clients)
+      Each.join();
+    if (Checks_.countServed(Recovered) == 0)
+      return {"nothing is served after the last fault"};
+    return Checks_.judge(Fleet_.servers());
+  }
+
+private:
+  static constexpr unsigned ClientCount = 6;
+
+  unsigned draw(unsigned Limit) {
+    return static_cast<unsigned>(Random_() % Limit);
+  }
+
+  void configure() {
+    Fleet_.configure(
+        json::array({makeRoute("r-read", "/read/", "one", true, seconds(2)),
+                     makeRoute("r-pay", "/pay/", "two", false, seconds(2))}));
+  }
+
+  void runClient(unsigned Number) {
+    std::mt19937 Random(Number);
+    size_t Vm = Number % Fleet_.getVmCount();
+    RouteClient Client(Fleet_.vm(Vm).FrontLink_->getAddress());
+    for (unsigned I = 0; !IsStopping_; ++I) {
+      SeenCall Call;
+      Call.IsIdempotent_ = Random() % 2 == 0;
+      Call.Id_ = absl::StrCat("c", Number, "-", I);
+      Call.Target_ =
+          absl::StrCat(Call.IsIdempotent_ ? "/read/" : "/pay/", Random() % 20);
+      Call.Service_ = Call.IsIdempotent_ ? "one" : "two";
+      Call.Sent_ = getNow();
+      Call.Reply_ =
+          Client.call({Call.IsIdempotent_ ? "GET" : "POST", Call.Target_,
+                       Call.Id_, absl::StrCat(Random() % 20), seconds(2)},
+                      seconds(3));
+      Checks_.note(Call);
+      // Open connections are used until they end.
+      Client.pause(milliseconds(5));
+    }
+  }
+
+  void injectOne() {
+    FleetVm &Vm = Fleet_.vm(draw(static_cast<unsigned>(Fleet_.getVmCount())));
+    std::vector<FleetServer> &Servers = Fleet_.servers();
+    FleetServer &Server = Servers[draw(static_cast<unsigned>(Servers.size()))];
+    constexpr unsigned Kinds = 11;
+    switch (draw(Kinds)) {
+    case 0:
+      stop(Vm, SIGKILL);
+      break;
+    case 1:
+      stop(Vm, SIGTERM);
+      break;
+    case 2:
+      if (Vm.Process_) {
+        Vm.Process_->signal(SIGSTOP);
+        Clock_.pause(milliseconds(200 + draw(1500)));
+        Vm.Process_->signal(SIGCONT);
+      }
+      break;
+    case 3:
+      Vm.StoreLink_->setMode(static_cast<LinkMode>(draw(4)));
+      break;
+    case 4:
+      Vm.PeerLink_->setMode(static_cast<LinkMode>(draw(4)));
+      break;
+    case 5:
+      Server.Link_->setMode(static_cast<LinkMode>(draw(4)));
+      break;
+    case 6:
+      Server.Link_->setDelay(milliseconds(draw(80)));
+      break;
+    case 7:
+      Fleet_.store().setMode(static_cast<StoreMode>(draw(5)));
+      break;
+    case 8:
+      Server.Server_->setFault(static_cast<AnswerFault>(draw(6)));
+      break;
+    case 9:
+      if (draw(2) == 0)
+        Fleet_.enlist(Server, true);
+      else
+        Fleet_.delist(Server);
+      break;
+    default:
+      Fleet_.store().compact();
+      configure();
+      break;
+    }
+    Clock_.pause(milliseconds(50 + draw(400)));
+    if (draw(3) == 0)
+      mendOne();
+  }
+
+  void stop(FleetVm &Vm, int Signal) {
+    if (Vm.Process_ && Vm.Process_->isRunning())
+      Vm.Process_->signal(Signal);
+  }
+
+  /// Starts what has ended and mends a part of what is broken.
+  void mendOne() {
+    for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
+      if (!Fleet_.vm(I).Process_->isRunning())
+        Fleet_.start(I);
+    FleetVm &Vm = Fleet_.vm(draw(static_cast<unsigned>(Fleet_.getVmCount())));
+    Vm.StoreLink_->setMode(LinkMode::Pass);
+    Vm.PeerLink_->setMode(LinkMode::Pass);
+    std::vector<FleetServer> &Servers = Fleet_.servers();
+    mend(Servers[draw(static_cast<unsigned>(Servers.size()))]);
+    if (draw(2) == 0)
+      Fleet_.store().setMode(StoreMode::Serve);
+  }
+
+  void mend(FleetServer &Server) {
+    Server.Server_->setFault(AnswerFault::None);
+    Server.Link_->setDelay(Duration(0));
+    Server.Link_->setMode(LinkMode::Pass);
+    Fleet_.enlist(Server);
+  }
+
+  /// Mends all, and waits until planned stops have ended.
+  void calm() {
+    Fleet_.store().setMode(StoreMode::Serve);
+    for (FleetServer &Server : Fleet_.servers())
+      mend(Server);
+    for (size_t I = 0; I < Fleet_.getVmCount(); ++I) {
+      Fleet_.vm(I).StoreLink_->setMode(LinkMode::Pass);
+      Fleet_.vm(I).PeerLink_->setMode(LinkMode::Pass);
+    }
+    Clock_.pause(seconds(5));
+    for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
+      if (!Fleet_.vm(I).Process_->isRunning())
+        Fleet_.start(I);
+  }
+
+  /// A server that leaves, and a zone that is evacuated, get nothing more.
+  void checkLeaving() {
+    for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
+      Fleet_.waitReady(I, seconds(10));
+    Clock_.pause(CalmBefore);
+    FleetServer &Leaving = Fleet_.servers()[draw(4)];
+    Fleet_.enlist(Leaving, true);
+    Fleet_.store().put("evacuations", "north-b", json::object());
+    Time Told = getNow();
+    Clock_.pause(2 * DrainBound);
+    Time Until = getNow();
+    Checks_.expectNoWork(Leaving.Server_->getId(), Told + DrainBound, Until);
+    for (FleetServer &Server : Fleet_.servers())
+      if (Server.Zone_ == "north-b")
+        Checks_.expectNoWork(Server.Server_->getId(), Told + DrainBound, Until);
+    Fleet_.store().remove("evacuations", "north-b");
+  }
+
+  std::mt19937 Random_;                 ///< Draws the schedule.
+  Duration Length_;                     ///< Time with faults.
+  RoutedFleet Fleet_;                   ///< Under test.
+  SoakChecks Checks_;                   ///< What must hold.
+  RouteClient Clock_{""};               ///< Waits.
+  Time End_;                            ///< End of the faults.
+  std::atomic<bool> IsStopping_{false}; ///< Ends the clients.
+};
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  namespace po = boost::program_options;
+  unsigned First = 1;
+  unsigned Count = 1;
+  unsigned Length = 10;
+  std::string Daemon;
+  po::options_description Flags("cranberry-soak: entry VMs under faults");
+  // clang-format off
+  Flags.add_options()
+      ("seed", po::value(&First)->default_value(1), "first seed")
+      ("count", po::value(&Count)->default_value(1), "number of seeds")
+      ("seconds", po::value(&Length)->default_value(10), "faults of each seed")
+      ("daemon", po::value(&Daemon)->required(), "program of the daemon")
+      ("help", "print this and exit");
+  // clang-format on
+  po::variables_map Given;
+  try {
+    po::store(po::parse_command_line(Argc, Argv, Flags), Given);
+    if (Given.count("help")) {
+      std::cout << Flags;
+      return 0;
+    }
+    po::notify(Given);
+  } catch (const po::error &Error) {
+    std::cerr << "cranberry-soak: " << Error.what() << "\n";
+    return 2;
+  }
+  unsigned Failed = 0;
+  for (unsigned Seed = First; Seed < First + Count; ++Seed) {
+    std::string Directory =
+        (std::filesystem::temp_directory_path() /
+         absl::StrCat("cranberry-soak-", getpid(), "-", Seed))
+            .string();
+    std::vector<std::string> Broken;
+    {
+      Soak Run(Seed, seconds(Length), Daemon, Directory);
+      Broken = Run.run();
+    }
+    for (const std::string &Line : Broken)
+      std::cout << "seed " << Seed << ": " << Line << "\n";
+    std::cout << "seed " << Seed << ": "
+              << (Broken.empty() ? "held" : "BROKEN, logs in " + Directory)
+              << std::endl;
+    if (Broken.empty())
+      std::filesystem::remove_all(Directory);
+    Failed += Broken.empty() ? 0 : 1;
+  }
+  std::cout << Count - Failed << " passed, " << Failed << " failed\n";
+  return Failed == 0 ? 0 : 1;
+}
