--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -45,7 +45,7 @@
 /// What a request's bytes to another zone or region cost, as the time that is
 /// worth as much.
 constexpr Duration RegionCost = milliseconds(25);
-constexpr Duration FarCost = milliseconds(60);
+constexpr Duration FarCost = milliseconds(25);
 
 /// Share of a request's time after which it is refused if it can't be in time.
 constexpr double LateHoldShare = 0.4;
