--- a/standin/route_client_base.h
+++ b/standin/route_client_base.h
@@ -17,8 +17,8 @@
 struct ClientCall {
   std::string Method_;   ///< Method.
   std::string Target_;   ///< Path and query.
-  std::string Id_ = "";  ///< Id of the attempt; no field if empty.
-  std::string Key_{};    ///< Affinity key; no field if empty.
+  std::string Id_;       ///< Id of the attempt; no field if empty.
+  std::string Key_;      ///< Affinity key; no field if empty.
   Duration Patience_{0}; ///< Told deadline; no field if zero.
 };
 
--- a/test/process/steering_test.cpp
+++ b/test/process/steering_test.cpp
@@ -156,7 +156,8 @@
 }
 
 TEST_CASE("steering: an idempotent request is finished by another server") {
-  Fixture F;
+  // More servers than the route allows for a request.
+  Fixture F({{"north-a"}, {"one", "two"}, 5});
   F.startAll();
   RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
   std::vector<FleetServer> &Servers = F.Fleet_.servers();
