--- a/test/unit/steering_decision_test.cpp
+++ b/test/unit/steering_decision_test.cpp
@@ -124,10 +124,10 @@
   ShiftGate Gate(0.14);
   Time Now{};
   std::vector<std::pair<Time, bool>> Sent;
-  // All want to leave.
+  // All want to leave, from one moment on.
   for (int I = 0; I < 8000; ++I) {
     Now += milliseconds(5);
-    bool Leaves = Gate.mayLeave(Now);
+    bool Leaves = I >= 800 && Gate.mayLeave(Now);
     Gate.noteStart(Leaves, Now);
     Sent.emplace_back(Now, Leaves);
   }
