Fix: [Steering] Watches on what operators write wait 4 s at most

The store was silent for an instant and dropped the watches that waited; the watch on servers, which finds that, was in its pause. The others waited on for 21.5 s (store-list at 4575.3, store-lost at 4596.8 on three VMs). Change: watches on the configuration and on evacuations ask for 4 s, not 20 s, so that with the client's slack a drop is found within 5.5 s. Ruled out: the check itself; the faults had ended 9 s before.

--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -24,12 +24,15 @@
 /// that is not finds out a store or a connection that has gone silent.
 constexpr Duration ServerWait = milliseconds(1500);
 
-/// Longest wait of the others; a connection that goes silent meanwhile is found
-/// by its keep-alive probes, a store by the watch on servers.
+/// Longest wait of watches on what operators write. The store may drop a watch
+/// without a word; with this, a change is known 6 s after that at the latest.
+constexpr Duration OperatorWait = seconds(4);
+
+/// Longest wait of the watch on entry VMs, which heartbeats tell as well.
 constexpr Duration LongWait = seconds(20);
 
-FollowPlan makePlan(const char *Kind, Duration Pace = Duration(0),
-                    Duration Wait = LongWait) {
+FollowPlan makePlan(const char *Kind, Duration Wait,
+                    Duration Pace = Duration(0)) {
   return {Kind, Pace, Wait};
 }
 
@@ -39,16 +42,17 @@
                      platform::StoreClient &Store, const Settings &Config,
                      EventLog &Log, StoreViewHandlers Handlers)
     : Log_(Log), Handlers_(std::move(Handlers)),
-      ConfigFollower_(Loop, Store, makePlan(platform::kind::Config),
+      ConfigFollower_(Loop, Store,
+                      makePlan(platform::kind::Config, OperatorWait),
                       makeConfigHandlers(), Log),
       ServerFollower_(Loop, Store,
-                      makePlan(platform::kind::Servers,
-                               scale(Config.ServerDrain_, ServerPaceShare),
-                               ServerWait),
+                      makePlan(platform::kind::Servers, ServerWait,
+                               scale(Config.ServerDrain_, ServerPaceShare)),
                       makeServerHandlers(), Log),
-      EvacuationFollower_(Loop, Store, makePlan(platform::kind::Evacuations),
+      EvacuationFollower_(Loop, Store,
+                          makePlan(platform::kind::Evacuations, OperatorWait),
                           makeEvacuationHandlers(), Log),
-      VmFollower_(Loop, Store, makePlan(platform::kind::EntryVms),
+      VmFollower_(Loop, Store, makePlan(platform::kind::EntryVms, LongWait),
                   makeVmHandlers(), Log) {}
 
 void StoreView::start() {
