Codechange: [Net] One ingress and one client for all interfaces

The project's own interface ran on libmicrohttpd and libcurl beside the connections of the platform path: two ingresses, two ways to servers, and two copies of a call with a time limit (store client, heartbeats).

An attempt whose response broke off is told apart from one that is no response. Both libraries are gone.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -181,7 +181,7 @@
   Time Lapsed = Started + LeaveSpread + Settings_.LookupTtl_;
   Time Limit = std::max(Lapsed, Started + Settings_.DrainLimit_);
   auto IsIdle = [this] {
-    return Http_->getOpenRequests() == 0 && OpenForwards_ == 0;
+    return !Http_->hasOpenRequests() && OpenForwards_ == 0;
   };
   while (EventLoop::now() < Lapsed || (!IsIdle() && EventLoop::now() < Limit))
     std::this_thread::sleep_for(DrainPoll);
--- a/src/net/attempt_type.h
+++ b/src/net/attempt_type.h
@@ -17,12 +17,14 @@
   ConnectFailed, ///< No connection was made; no byte was sent.
   ConnectReset,  ///< The server turned the connection away.
   Broken,        ///< Sent, and the connection ended without a response.
+  Truncated,     ///< Sent, and the response broke off.
   Garbled,       ///< Sent, and what came is not a response to it.
 };
 
 /// Names of ends, in the order of the enum.
 inline constexpr const char *AttemptEndNames[] = {
-    "answered", "connect-failed", "connect-reset", "broken", "garbled"};
+    "answered", "connect-failed", "connect-reset",
+    "broken",   "truncated",      "garbled"};
 
 /// How an attempt ended.
 struct AttemptResult {
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,171 @@
+/// \file http_client.cpp Whole HTTP calls, each with a time limit.
+#include "net/http_client_base.h"
+
+#include "net/http_message_func.h"
+#include "net/ingress_server_base.h"
+
+#include <absl/strings/ascii.h>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace cranberry {
+
+namespace {
+
+/// How often connections that are too old are closed; short against the idle
+/// times of servers, which are seconds.
+constexpr Duration SweepPeriod = seconds(1);
+
+constexpr std::string_view Scheme = "http://";
+
+/// A URL's parts.
+struct Url {
+  std::string Address_; ///< "address:port".
+  std::string Target_;  ///< Path and query.
+};
+
+Url splitUrl(std::string_view Text) {
+  if (Text.starts_with(Scheme))
+    Text.remove_prefix(Scheme.size());
+  size_t Slash = std::min(Text.find('/'), Text.size());
+  std::string Target(Text.substr(Slash));
+  return {std::string(Text.substr(0, Slash)), Target.empty() ? "/" : Target};
+}
+
+AttemptSpec makeSpec(const HttpCall &Call, const Url &To) {
+  RequestMessage Message;
+  Message.method_string(Call.Method_);
+  Message.target(To.Target_);
+  Message.set(http::field::host, To.Address_);
+  for (const auto &[Name, Value] : Call.Headers_)
+    Message.insert(Name, Value);
+  Message.body() = Call.Body_;
+  AttemptSpec Spec;
+  Spec.Bytes_ = serializeRequest(Message);
+  Spec.IsHead_ = Call.Method_ == "HEAD";
+  Spec.Matches_ = [](const ResponseMessage &) { return ResponseMatch::Ours; };
+  Spec.ConnectTimeout_ = std::min(Call.Timeout_, Call.ConnectTimeout_);
+  Spec.MaxIdle_ = Call.FreshConnection_ ? Duration(-1) : Call.MaxIdle_;
+  return Spec;
+}
+
+ResultCode getCode(AttemptEnd End) {
+  switch (End) {
+  case AttemptEnd::Answered:
+    return ResultCode::Ok;
+  case AttemptEnd::ConnectFailed:
+  case AttemptEnd::ConnectReset:
+    return ResultCode::ServerConnectFailed;
+  case AttemptEnd::Truncated:
+    return ResultCode::ServerAnswerTruncated;
+  case AttemptEnd::Broken:
+  case AttemptEnd::Garbled:
+    break;
+  }
+  return ResultCode::ServerAnswerLost;
+}
+
+HttpResult makeResult(AttemptResult Attempt) {
+  HttpResult Result;
+  Result.Code_ = getCode(Attempt.End_);
+  if (Attempt.End_ != AttemptEnd::Answered) {
+    Result.Text_ = AttemptEndNames[static_cast<size_t>(Attempt.End_)];
+    return Result;
+  }
+  Result.Status_ = static_cast<int>(Attempt.Response_.result_int());
+  for (const auto &Field : Attempt.Response_)
+    Result.Headers_.emplace_back(
+        absl::AsciiStrToLower(
+            {Field.name_string().data(), Field.name_string().size()}),
+        std::string(Field.value()));
+  Result.Body_ = std::move(Attempt.Response_.body());
+  return Result;
+}
+
+} // namespace
+
+/// A call that is out.
+struct HttpClient::Transfer {
+  Transfer(boost::asio::io_context &Loop, CallEnded Ended)
+      : Ended_(std::move(Ended)), Limit_(Loop) {}
+
+  CallEnded Ended_;                 ///< Whom to tell.
+  AttemptHandle Attempt_;           ///< Cancels it.
+  boost::asio::steady_timer Limit_; ///< Bounds it.
+};
+
+HttpClient::HttpClient(boost::asio::io_context &Loop)
+    : Loop_(Loop), Connections_(Loop) {}
+
+HttpClient::~HttpClient() {
+  for (auto &[Index, Out] : Transfers_)
+    Out->Attempt_.cancel();
+}
+
+CallIndex HttpClient::startCall(HttpCall Call, CallEnded Ended) {
+  sweepIfDue();
+  CallIndex Index(NextCall_++);
+  Transfer &Out = *(Transfers_[Index] =
+                        std::make_unique<Transfer>(Loop_, std::move(Ended)));
+  Url To = splitUrl(Call.Url_);
+  std::optional<boost::asio::ip::tcp::endpoint> Server =
+      parseEndpoint(To.Address_);
+  if (!Server) {
+    boost::asio::post(Loop_, [this, Index, Address = To.Address_] {
+      HttpResult Result;
+      Result.Code_ = ResultCode::ServerConnectFailed;
+      Result.Text_ = "not an address: " + Address;
+      finish(Index, std::move(Result));
+    });
+    return Index;
+  }
+  Out.Attempt_ =
+      Connections_.send(To.Address_, *Server, makeSpec(Call, To),
+                        [this, Index](AttemptResult Attempt) {
+                          finish(Index, makeResult(std::move(Attempt)));
+                        });
+  // Set after the connection's own timer, which tells that nothing was sent.
+  Out.Limit_.expires_after(Call.Timeout_);
+  Out.Limit_.async_wait([this, Index](error_code Cancelled) {
+    if (Cancelled)
+      return;
+    HttpResult Result;
+    Result.Code_ = ResultCode::ServerAnswerLost;
+    Result.Text_ = "no answer in time";
+    finish(Index, std::move(Result));
+  });
+  return Index;
+}
+
+void HttpClient::finish(CallIndex Call, HttpResult Result) {
+  auto Found = Transfers_.find(Call);
+  if (Found == Transfers_.end())
+    return;
+  std::unique_ptr<Transfer> Out = std::move(Found->second);
+  Transfers_.erase(Found);
+  if (Result.Code_ != ResultCode::Ok)
+    Out->Attempt_.cancel();
+  Out->Ended_(std::move(Result));
+}
+
+void HttpClient::cancelCall(CallIndex Call) {
+  auto Found = Transfers_.find(Call);
+  if (Found == Transfers_.end())
+    return;
+  Found->second->Attempt_.cancel();
+  Transfers_.erase(Found);
+}
+
+void HttpClient::sweepIfDue() {
+  Time Now = getNow();
+  if (Now < NextSweep_)
+    return;
+  NextSweep_ = Now + SweepPeriod;
+  Connections_.sweep(Now);
+}
+
+} // namespace cranberry
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,182 +1,159 @@
-/// \file http_server.cpp Serves HTTP on a pool of threads.
+/// \file http_server.cpp Serves whole HTTP requests on threads of its own.
 #include "net/http_server_base.h"
 
+#include "net/event_loop_base.h"
+#include "net/http_message_func.h"
+#include "net/http_target_func.h"
+#include "net/ingress_server_base.h"
+
 #include <absl/strings/ascii.h>
-#include <arpa/inet.h>
-#include <microhttpd.h>
-#include <sys/socket.h>
 
-#include <unistd.h>
+#include <algorithm>
+#include <atomic>
+#include <future>
+#include <thread>
 
 namespace cranberry {
 
 namespace {
 
-constexpr unsigned IdleTimeoutSeconds = 60;
-
-MHD_Result addToMap(void *Context, MHD_ValueKind /*Kind*/, const char *Name,
-                    const char *Value) {
-  auto &Target = *static_cast<std::map<std::string, std::string> *>(Context);
-  Target[Name] = Value ? Value : "";
-  return MHD_YES;
-}
-
-MHD_Result addHeader(void *Context, MHD_ValueKind /*Kind*/, const char *Name,
-                     const char *Value) {
-  auto &Target = *static_cast<std::map<std::string, std::string> *>(Context);
-  Target[absl::AsciiStrToLower(Name)] = Value ? Value : "";
-  return MHD_YES;
+/// Tools and callers keep connections between calls that are minutes apart.
+constexpr Duration IdleTimeout = seconds(60);
+
+HttpRequest makeRequest(RequestMessage &Message) {
+  HttpRequest Request;
+  Request.Method_ = std::string(Message.method_string());
+  std::string Target(Message.target());
+  size_t Mark = Target.find('?');
+  Request.RawPath_ = Target.substr(0, Mark);
+  Request.Path_ = decodePercent(Request.RawPath_);
+  if (Mark != std::string::npos)
+    Request.RawQuery_ = Target.substr(Mark + 1);
+  Request.Query_ = parseQuery(Request.RawQuery_);
+  for (const auto &Field : Message)
+    Request.Headers_[absl::AsciiStrToLower(
+        {Field.name_string().data(), Field.name_string().size()})] =
+        std::string(Field.value());
+  Request.Body_ = std::move(Message.body());
+  return Request;
 }
 
-/// \return Whether the other end has closed its side.
-bool isClosed(int Socket) {
-  char Byte = 0;
-  return recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+ResponseMessage makeMessage(HttpResponse Response) {
+  ResponseMessage Message;
+  Message.result(static_cast<unsigned>(Response.Status_));
+  for (const auto &[Name, Value] : Response.Headers_)
+    Message.insert(Name, Value);
+  Message.body() = std::move(Response.Body_);
+  return Message;
 }
 
 } // namespace
 
-/// What lives for one request on one connection.
-struct HttpExchange {
-  HttpServer *Server_ = nullptr;         ///< Server.
-  MHD_Connection *Connection_ = nullptr; ///< Library's connection.
-  HttpRequest Request_;                  ///< As far as it has come in.
-  HttpResponse Response_;                ///< Set before the resume.
-  bool Handled_ = false;                 ///< Handler was called.
-
-  void handle() {
-    Handled_ = true;
-    ++Server_->OpenRequests_;
-    const MHD_ConnectionInfo *Info =
-        MHD_get_connection_info(Connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
-    Request_.IsGone_ = [Socket = Info->connect_fd] { return isClosed(Socket); };
-    MHD_suspend_connection(Connection_);
-    Server_->Handler_(std::move(Request_), [this](HttpResponse Response) {
-      Response_ = std::move(Response);
-      MHD_resume_connection(Connection_);
-    });
+/// One thread and its connections.
+class HttpServer::Worker : public std::enable_shared_from_this<Worker> {
+public:
+  Worker(const HttpServerLimits &Limits, HttpHandler Handler)
+      : Ingress_(Loop_.getContext(),
+                 [this](const IngressExchangePtr &Exchange) {
+                   handle(Exchange, false);
+                 }),
+        Handler_(std::move(Handler)) {
+    IngressLimits Bounds;
+    Bounds.BodyBytes_ = Limits.MaxBodyBytes_;
+    Bounds.IdleTimeout_ = IdleTimeout;
+    Bounds.Connections_ =
+        std::max(1U, Limits.MaxConnections_ / std::max(1U, Limits.Threads_));
+    Ingress_.setLimits(Bounds);
+    Ingress_.setOversizeHandler(
+        [this](const IngressExchangePtr &Exchange) { handle(Exchange, true); });
   }
 
-  MHD_Result send() {
-    MHD_Response *Out = MHD_create_response_from_buffer(
-        Response_.Body_.size(), Response_.Body_.data(), MHD_RESPMEM_MUST_COPY);
-    for (const auto &[Name, Value] : Response_.Headers_)
-      MHD_add_response_header(Out, Name.c_str(), Value.c_str());
-    if (Response_.Close_ || !Server_->Accepting_)
-      MHD_add_response_header(Out, "Connection", "close");
-    MHD_Result Queued = MHD_queue_response(
-        Connection_, static_cast<unsigned>(Response_.Status_), Out);
-    MHD_destroy_response(Out);
-    return Queued;
-  }
+  ~Worker() { stop(); }
+
+  IngressServer &getIngress() { return Ingress_; }
 
-  void addBody(const char *Data, size_t Size) {
-    if (Request_.Body_.size() + Size > Server_->Limits_.MaxBodyBytes_) {
-      Request_.IsTooLarge_ = true;
-      Request_.Body_.clear();
-      return;
-    }
-    if (!Request_.IsTooLarge_)
-      Request_.Body_.append(Data, Size);
+  void start() {
+    Thread_ = std::thread([this] { Loop_.run(); });
   }
 
-  static void *keepUri(void *Context, const char *Uri, MHD_Connection *) {
-    auto *Self = new HttpExchange;
-    Self->Server_ = static_cast<HttpServer *>(Context);
-    std::string Whole(Uri);
-    size_t Mark = Whole.find('?');
-    Self->Request_.RawPath_ = Whole.substr(0, Mark);
-    if (Mark != std::string::npos)
-      Self->Request_.RawQuery_ = Whole.substr(Mark + 1);
-    return Self;
+  void stop() {
+    Loop_.stop();
+    if (Thread_.joinable())
+      Thread_.join();
   }
 
-  static MHD_Result onAccess(void * /*Context*/, MHD_Connection *Connection,
-                             const char *Url, const char *Method,
-                             const char * /*Version*/, const char *Data,
-                             size_t *Size, void **State) {
-    auto &Self = *static_cast<HttpExchange *>(*State);
-    if (!Self.Connection_) {
-      Self.Connection_ = Connection;
-      Self.Request_.Method_ = Method;
-      Self.Request_.Path_ = Url;
-      MHD_get_connection_values(Connection, MHD_GET_ARGUMENT_KIND, addToMap,
-                                &Self.Request_.Query_);
-      MHD_get_connection_values(Connection, MHD_HEADER_KIND, addHeader,
-                                &Self.Request_.Headers_);
-      return MHD_YES;
-    }
-    if (*Size > 0) {
-      Self.addBody(Data, *Size);
-      *Size = 0;
-      return MHD_YES;
-    }
-    if (!Self.Handled_) {
-      Self.handle();
-      return MHD_YES;
-    }
-    return Self.send();
+  /// Runs \p Ask on this thread and waits for its result.
+  template <typename Function> auto call(Function Ask) {
+    std::packaged_task<decltype(Ask())()> Task(std::move(Ask));
+    auto Result = Task.get_future();
+    Loop_.post([&Task] { Task(); });
+    return Result.get();
   }
 
-  static void onCompleted(void * /*Context*/, MHD_Connection *, void **State,
-                          MHD_RequestTerminationCode) {
-    auto *Self = static_cast<HttpExchange *>(*State);
-    if (!Self)
-      return;
-    if (Self->Handled_)
-      --Self->Server_->OpenRequests_;
-    delete Self;
-    *State = nullptr;
+private:
+  void handle(const IngressExchangePtr &Exchange, bool IsTooLarge) {
+    HttpRequest Request = makeRequest(Exchange->getMessage());
+    Request.IsTooLarge_ = IsTooLarge;
+    auto IsGone = std::make_shared<std::atomic<bool>>(false);
+    Exchange->setOnGone([IsGone] { *IsGone = true; });
+    Request.IsGone_ = [IsGone] { return IsGone->load(); };
+    // The handler may answer after this server has gone.
+    Handler_(std::move(Request), [Weak = weak_from_this(),
+                                  Exchange](HttpResponse Response) {
+      std::shared_ptr<Worker> Self = Weak.lock();
+      if (!Self)
+        return;
+      Self->Loop_.post([Exchange, Response = std::move(Response)]() mutable {
+        Exchange->answer(makeMessage(std::move(Response)));
+      });
+    });
   }
-};
 
-HttpServer::HttpServer(const HttpServerLimits &Limits, HttpHandler Handler)
-    : Limits_(Limits), Handler_(std::move(Handler)) {}
+  EventLoop Loop_;        ///< Thread's loop.
+  IngressServer Ingress_; ///< Its connections.
+  HttpHandler Handler_;   ///< Called for each whole request.
+  std::thread Thread_;    ///< The thread.
+};
 
 std::unique_ptr<HttpServer> HttpServer::open(const std::string &Address,
                                              const HttpServerLimits &Limits,
-                                             HttpHandler Handler, Reason &Why) {
-  Why = {ResultCode::PortUnavailable, "", Address};
-  size_t Colon = Address.rfind(':');
-  sockaddr_in Bound{};
-  Bound.sin_family = AF_INET;
-  if (Colon == std::string::npos ||
-      inet_pton(AF_INET, Address.substr(0, Colon).c_str(), &Bound.sin_addr) !=
-          1)
-    return nullptr;
-  auto Port = static_cast<uint16_t>(std::atoi(Address.c_str() + Colon + 1));
-  Bound.sin_port = htons(Port);
-  std::unique_ptr<HttpServer> Server(
-      new HttpServer(Limits, std::move(Handler)));
-  Server->Daemon_ = MHD_start_daemon(
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
-      Port, nullptr, nullptr, &HttpExchange::onAccess, nullptr,
-      MHD_OPTION_SOCK_ADDR, &Bound, MHD_OPTION_THREAD_POOL_SIZE,
-      Limits.Threads_, MHD_OPTION_CONNECTION_LIMIT, Limits.MaxConnections_,
-      MHD_OPTION_CONNECTION_TIMEOUT, IdleTimeoutSeconds,
-      MHD_OPTION_URI_LOG_CALLBACK, &HttpExchange::keepUri, Server.get(),
-      MHD_OPTION_NOTIFY_COMPLETED, &HttpExchange::onCompleted, nullptr,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
-  if (!Server->Daemon_)
-    return nullptr;
-  const MHD_DaemonInfo *Info =
-      MHD_get_daemon_info(Server->Daemon_, MHD_DAEMON_INFO_BIND_PORT);
-  Server->Address_ = Address.substr(0, Colon + 1) + std::to_string(Info->port);
-  Why = {};
+                                             const HttpHandler &Handler,
+                                             Reason &Why) {
+  std::unique_ptr<HttpServer> Server(new HttpServer);
+  for (unsigned I = 0; I < std::max(1U, Limits.Threads_); ++I) {
+    auto Next = std::make_shared<Worker>(Limits, Handler);
+    IngressServer &Ingress = Next->getIngress();
+    bool IsOpen =
+        Server->Workers_.empty()
+            ? Ingress.open(Address, Why)
+            : Ingress.share(Server->Workers_.front()->getIngress(), Why);
+    if (!IsOpen)
+      return nullptr;
+    Server->Workers_.push_back(std::move(Next));
+  }
+  Server->Address_ = Server->Workers_.front()->getIngress().getAddress();
+  for (const std::shared_ptr<Worker> &Each : Server->Workers_)
+    Each->start();
   return Server;
 }
 
+bool HttpServer::hasOpenRequests() const {
+  return std::any_of(Workers_.begin(), Workers_.end(), [](const auto &Each) {
+    return Each->call([&] { return Each->getIngress().hasOpenRequests(); });
+  });
+}
+
 void HttpServer::stopAccepting() {
-  if (!Accepting_.exchange(false))
-    return;
-  MHD_socket Listening = MHD_quiesce_daemon(Daemon_);
-  if (Listening != MHD_INVALID_SOCKET)
-    close(Listening);
+  for (const std::shared_ptr<Worker> &Each : Workers_)
+    Each->call([&] {
+      Each->getIngress().startDrain();
+      Each->getIngress().stopAccepting();
+    });
 }
 
 HttpServer::~HttpServer() {
-  if (Daemon_)
-    MHD_stop_daemon(Daemon_);
+  for (const std::shared_ptr<Worker> &Each : Workers_)
+    Each->stop();
 }
 
 } // namespace cranberry
--- a/src/net/http_server_base.h
+++ b/src/net/http_server_base.h
@@ -1,15 +1,13 @@
-/// \file http_server_base.h Serves HTTP on a pool of threads.
+/// \file http_server_base.h Serves whole HTTP requests on threads of its own.
 #ifndef CRANBERRY_NET_HTTP_SERVER_BASE_H
 #define CRANBERRY_NET_HTTP_SERVER_BASE_H
 
 #include "core/result_type.h"
 #include "net/http_type.h"
 
-#include <atomic>
 #include <memory>
-#include <optional>
-
-struct MHD_Daemon;
+#include <string>
+#include <vector>
 
 namespace cranberry {
 
@@ -20,14 +18,17 @@
   size_t MaxBodyBytes_ = 4U << 20; ///< Largest request body.
 };
 
-/// An HTTP server on one address.
+/// An HTTP server on one address. Requests that share a connection may be
+/// handled at the same time; their answers leave in order.
 class HttpServer {
 public:
   /// \param Address "address:port"; port 0 lets the kernel pick.
+  /// \param Handler Called on the server's threads.
   /// \param[out] Why PortUnavailable if there is no result.
   static std::unique_ptr<HttpServer> open(const std::string &Address,
                                           const HttpServerLimits &Limits,
-                                          HttpHandler Handler, Reason &Why);
+                                          const HttpHandler &Handler,
+                                          Reason &Why);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
@@ -35,23 +36,19 @@
   /// \return "address:port" as bound.
   const std::string &getAddress() const { return Address_; }
 
-  /// \return Requests that have come in and are not answered.
-  int getOpenRequests() const { return OpenRequests_; }
+  /// \return Whether requests have come in whose answers are not sent.
+  bool hasOpenRequests() const;
 
-  /// Takes no new connections; open ones are served on.
+  /// Takes no new connections; open ones are served on, and asked to close.
   void stopAccepting();
 
 private:
-  friend struct HttpExchange;
+  class Worker;
 
-  HttpServer(const HttpServerLimits &Limits, HttpHandler Handler);
+  HttpServer() = default;
 
-  MHD_Daemon *Daemon_ = nullptr;      ///< Library's handle.
-  HttpServerLimits Limits_;           ///< Limits.
-  HttpHandler Handler_;               ///< Called for each whole request.
-  std::string Address_;               ///< As bound.
-  std::atomic<int> OpenRequests_{0};  ///< Not answered yet.
-  std::atomic<bool> Accepting_{true}; ///< Until stopAccepting().
+  std::vector<std::shared_ptr<Worker>> Workers_; ///< One each thread.
+  std::string Address_;                          ///< As bound.
 };
 
 } // namespace cranberry
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -26,8 +26,7 @@
   std::map<std::string, std::string> Headers_; ///< By lower-case name.
   std::string Body_;                           ///< Whole body.
   bool IsTooLarge_ = false;                    ///< Body was over the limit.
-  /// Tells whether the other end has closed the connection; only while the
-  /// request is not answered.
+  /// Tells whether the other end has closed the connection before an answer.
   std::function<bool()> IsGone_;
 
   /// \return Value of the header \p Name in lower case, or "".
@@ -42,7 +41,6 @@
   int Status_ = 200;    ///< Status.
   HttpHeaders Headers_; ///< Headers besides Content-Length.
   std::string Body_;    ///< Body.
-  bool Close_ = false;  ///< Whether to close the connection afterwards.
 };
 
 /// Sends the answer; called once, from any thread.
@@ -53,14 +51,16 @@
 
 /// A request to send.
 struct HttpCall {
-  std::string Method_ = "GET";     ///< Method.
-  std::string Url_;                ///< Whole URL.
-  HttpHeaders Headers_;            ///< Headers.
-  std::string Body_;               ///< Body.
-  Duration Timeout_ = seconds(10); ///< Limit on the whole call.
-  /// Whether it must not use a connection that was used before. libcurl sends
-  /// a request a second time, by itself, when a reused connection dies before
-  /// the first byte of the answer; a fresh connection is never retried so.
+  std::string Method_ = "GET";           ///< Method.
+  std::string Url_;                      ///< Whole URL.
+  HttpHeaders Headers_;                  ///< Headers.
+  std::string Body_;                     ///< Body.
+  Duration Timeout_ = seconds(10);       ///< Limit on the whole call.
+  Duration ConnectTimeout_ = seconds(1); ///< Limit on a new connection.
+  Duration MaxIdle_ = seconds(4); ///< Longest idle time of a connection that
+                                  ///< is used again.
+  /// Whether it must not use a connection that was used before, which may have
+  /// died meanwhile and leave it unknown whether the request ran.
   bool FreshConnection_ = false;
 };
 
@@ -72,7 +72,7 @@
   int Status_ = 0;                   ///< HTTP status, if Ok.
   HttpHeaders Headers_;              ///< Headers, names in lower case.
   std::string Body_;                 ///< Whole body, if Ok.
-  std::string Text_;                 ///< The library's reason, if not Ok.
+  std::string Text_;                 ///< Reason for people, if not Ok.
 
   /// \return Value of the header \p Name in lower case, or "".
   const std::string &getHeader(const std::string &Name) const;
--- a/src/net/ingress_connection.cpp
+++ b/src/net/ingress_connection.cpp
@@ -103,6 +103,12 @@
     error_code Error;
     size_t Used = Parser_->put(Buffer_.data(), Error);
     Buffer_.consume(Used);
+    if (Error == http::error::body_limit && Server_.Oversize_) {
+      RequestMessage Head = std::move(Parser_->get());
+      Head.body().clear();
+      Server_.Oversize_(addLast(std::move(Head)));
+      return;
+    }
     if (Error && Error != http::error::need_more) {
       reject(getRejection(Error));
       return;
@@ -138,15 +144,18 @@
   Server_.Handler_(Exchange);
 }
 
-void IngressConnection::reject(unsigned Status) {
-  RequestMessage Unread;
+IngressExchangePtr IngressConnection::addLast(RequestMessage Message) {
   auto Exchange = std::make_shared<IngressExchange>(
-      weak_from_this(), std::move(Unread), LastActivity_);
+      weak_from_this(), std::move(Message), LastActivity_);
   Exchange->IsKeptAlive_ = false;
   IsLastRead_ = true;
   Parser_.reset();
   Pipeline_.push_back(Exchange);
-  Exchange->answer(makeResponse(Status, ""));
+  return Exchange;
+}
+
+void IngressConnection::reject(unsigned Status) {
+  addLast({})->answer(makeResponse(Status, ""));
 }
 
 void IngressConnection::flush() {
--- a/src/net/ingress_connection_base.h
+++ b/src/net/ingress_connection_base.h
@@ -30,6 +30,9 @@
   /// Sends what can be sent in order.
   void flush();
 
+  /// \return Whether a request has come in whose answer is not sent.
+  bool hasUnsentAnswers() const { return hasOpenRequests() || IsWriting_; }
+
   /// Drops the connection; requests without an answer are told.
   void close();
 
@@ -41,6 +44,7 @@
   void parse();
   void deliver();
   void reject(unsigned Status);
+  IngressExchangePtr addLast(RequestMessage Message);
   void finishWrite(bool Failed);
   void linger();
   bool hasOpenRequests() const { return !Pipeline_.empty(); }
--- a/src/net/ingress_server.cpp
+++ b/src/net/ingress_server.cpp
@@ -3,7 +3,9 @@
 
 #include "net/ingress_connection_base.h"
 
+#include <algorithm>
 #include <charconv>
+#include <fcntl.h>
 #include <vector>
 
 using boost::asio::ip::tcp;
@@ -76,6 +78,21 @@
   return true;
 }
 
+bool IngressServer::share(IngressServer &First, Reason &Why) {
+  int Copy = fcntl(First.Acceptor_.native_handle(), F_DUPFD_CLOEXEC, 0);
+  error_code Error(errno, boost::system::system_category());
+  if (Copy >= 0)
+    Acceptor_.assign(tcp::v4(), Copy, Error);
+  if (Error) {
+    Why = {ResultCode::PortUnavailable, First.Address_, Error.message()};
+    return false;
+  }
+  Address_ = First.Address_;
+  accept();
+  sweep();
+  return true;
+}
+
 void IngressServer::accept() {
   if (IsStopped_)
     return;
@@ -90,6 +107,10 @@
       });
       return;
     }
+    if (Connections_.size() >= Limits_.Connections_) {
+      accept(); // The socket closes.
+      return;
+    }
     auto Connection =
         std::make_shared<IngressConnection>(*this, std::move(Socket));
     Connections_.insert(Connection);
@@ -112,6 +133,12 @@
   });
 }
 
+bool IngressServer::hasOpenRequests() const {
+  return std::any_of(
+      Connections_.begin(), Connections_.end(),
+      [](const auto &Connection) { return Connection->hasUnsentAnswers(); });
+}
+
 void IngressServer::stopAccepting() {
   IsStopped_ = true;
   error_code Ignored; // A listening socket has nothing to lose.
--- a/src/net/ingress_server_base.h
+++ b/src/net/ingress_server_base.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <set>
@@ -26,6 +27,7 @@
   size_t BodyBytes_ = 64U << 20;        ///< Largest body of a request.
   Duration HeaderTimeout_ = seconds(3); ///< From its first byte to its end.
   Duration IdleTimeout_ = seconds(15);  ///< Between requests.
+  size_t Connections_ = std::numeric_limits<size_t>::max(); ///< Most open.
 };
 
 /// One request of a client and the place of its answer on the connection.
@@ -78,12 +80,23 @@
   /// \param[out] Why PortUnavailable if the result is false.
   bool open(const std::string &Address, Reason &Why);
 
+  /// Takes connections of a port that \p First has opened, for a loop of
+  /// another thread.
+  /// \param[out] Why PortUnavailable if the result is false.
+  bool share(IngressServer &First, Reason &Why);
+
   /// \return "address:port" as bound.
   const std::string &getAddress() const { return Address_; }
 
   void setLimits(const IngressLimits &Limits) { Limits_ = Limits; }
   const IngressLimits &getLimits() const { return Limits_; }
 
+  /// \param Handler Called for each request whose body is too large, which it
+  /// gets without the body. Without one such requests are answered 413.
+  void setOversizeHandler(IngressHandler Handler) {
+    Oversize_ = std::move(Handler);
+  }
+
   /// Every answer from now on asks the client to close the connection.
   void startDrain() { IsDraining_ = true; }
   bool isDraining() const { return IsDraining_; }
@@ -93,6 +106,9 @@
 
   size_t getConnectionCount() const { return Connections_.size(); }
 
+  /// \return Whether requests have come in whose answers are not sent.
+  bool hasOpenRequests() const;
+
 private:
   friend class IngressConnection;
 
@@ -104,6 +120,7 @@
   boost::asio::steady_timer Sweep_;         ///< Looks for timed-out clients.
   boost::asio::steady_timer AcceptRetry_;   ///< Waits after a failed accept.
   IngressHandler Handler_;                  ///< Called for each request.
+  IngressHandler Oversize_;                 ///< See setOversizeHandler().
   IngressLimits Limits_;                    ///< Limits in force.
   std::string Address_;                     ///< As bound.
   bool IsDraining_ = false;                 ///< See startDrain().
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -145,7 +145,7 @@
     }
   }
   bool IsPartial = Parser_ && Parser_->got_some();
-  finish(IsPartial ? AttemptEnd::Garbled : AttemptEnd::Broken);
+  finish(IsPartial ? AttemptEnd::Truncated : AttemptEnd::Broken);
 }
 
 bool ServerConnection::parse() {
--- a/src/platform/store_client_base.h
+++ b/src/platform/store_client_base.h
@@ -2,11 +2,9 @@
 #ifndef CRANBERRY_PLATFORM_STORE_CLIENT_BASE_H
 #define CRANBERRY_PLATFORM_STORE_CLIENT_BASE_H
 
-#include "net/connection_pool_base.h"
+#include "net/http_client_base.h"
 #include "platform/store_type.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <memory>
 #include <string>
@@ -54,13 +52,12 @@
   uint64_t getCalls() const { return Calls_; }
 
 private:
-  void call(boost::beast::http::verb Method, const std::string &Target,
-            const std::string &Body, Duration Timeout, StoreReplyHandler End);
+  void call(const char *Method, const std::string &Target, std::string Body,
+            Duration Timeout, StoreReplyHandler End);
 
-  boost::asio::io_context &Loop_; ///< Loop.
-  std::string Address_;           ///< Store.
-  ConnectionPool Connections_;    ///< Connections to it.
-  uint64_t Calls_ = 0;            ///< See getCalls().
+  std::string Address_; ///< Store.
+  HttpClient Client_;   ///< Connections to it.
+  uint64_t Calls_ = 0;  ///< See getCalls().
 };
 
 } // namespace cranberry::platform
--- a/src/steering/attempt_outcome.cpp
+++ b/src/steering/attempt_outcome.cpp
@@ -40,6 +40,7 @@
   case AttemptEnd::ConnectReset:
     return AttemptOutcome::NotSent;
   case AttemptEnd::Broken:
+  case AttemptEnd::Truncated:
   case AttemptEnd::Garbled:
     return AttemptOutcome::Unknown;
   case AttemptEnd::Answered:
--- a/src/steering/peer_exchange.cpp
+++ b/src/steering/peer_exchange.cpp
@@ -4,7 +4,6 @@
 #include "net/http_message_func.h"
 #include "steering/heartbeat_codec_func.h"
 
-namespace http = boost::beast::http;
 using boost::system::error_code;
 
 namespace cranberry {
@@ -26,11 +25,11 @@
 PeerExchange::PeerExchange(boost::asio::io_context &Loop, const Member &Self,
                            Duration Period, EventLog &Log,
                            std::function<void()> OnChange)
-    : Loop_(Loop), Period_(Period), Log_(Log), OnChange_(std::move(OnChange)),
+    : Period_(Period), Log_(Log), OnChange_(std::move(OnChange)),
       Membership_(Self, {}, Self.Incarnation_),
       Server_(Loop,
               [this](const IngressExchangePtr &Exchange) { handle(Exchange); }),
-      Connections_(Loop), Timer_(Loop) {}
+      Client_(Loop), Timer_(Loop) {}
 
 bool PeerExchange::open(const std::string &Address, Reason &Why) {
   if (!Server_.open(Address, Why))
@@ -52,7 +51,6 @@
   for (const std::string &Address : Membership_.getTargets(Now))
     send(Address);
   noteChange();
-  Connections_.sweep(Now);
   Timer_.expires_after(Period_);
   Timer_.async_wait([this](error_code Cancelled) {
     if (!Cancelled)
@@ -61,42 +59,21 @@
 }
 
 void PeerExchange::send(const std::string &Address) {
-  std::optional<boost::asio::ip::tcp::endpoint> Peer = parseEndpoint(Address);
-  if (!Peer)
-    return;
-  RequestMessage Message;
-  Message.method(http::verb::post);
-  Message.target(HeartbeatPath);
-  Message.set(http::field::host, Address);
-  Message.body() = encodeHeartbeat(Membership_.makeHeartbeat(Address));
-  AttemptSpec Spec;
-  Spec.Bytes_ = serializeRequest(Message);
-  Spec.Matches_ = [](const ResponseMessage &) { return ResponseMatch::Ours; };
-  Spec.ConnectTimeout_ = ConnectTimeout;
-  Spec.MaxIdle_ = MaxIdle;
-  auto Timer = std::make_shared<boost::asio::steady_timer>(Loop_);
-  auto Handle = std::make_shared<AttemptHandle>();
-  auto IsOpen = std::make_shared<bool>(true);
-  *Handle =
-      Connections_.send(Address, *Peer, std::move(Spec),
-                        [this, Timer, IsOpen, Address](AttemptResult Result) {
-                          *IsOpen = false;
-                          Timer->cancel();
-                          std::optional<HeartbeatBody> Body;
-                          if (Result.End_ == AttemptEnd::Answered)
-                            Body = decodeHeartbeat(Result.Response_.body());
-                          if (Body)
-                            Membership_.receiveAnswer(*Body, getNow());
-                          else
-                            Membership_.noteFailure(Address, getNow());
-                          noteChange();
-                        });
-  Timer->expires_after(AnswerTimeout);
-  Timer->async_wait([this, Handle, IsOpen, Address](error_code Cancelled) {
-    if (Cancelled || !*IsOpen)
-      return;
-    Handle->cancel();
-    Membership_.noteFailure(Address, getNow());
+  HttpCall Call;
+  Call.Method_ = "POST";
+  Call.Url_ = "http://" + Address + HeartbeatPath;
+  Call.Body_ = encodeHeartbeat(Membership_.makeHeartbeat(Address));
+  Call.Timeout_ = AnswerTimeout;
+  Call.ConnectTimeout_ = ConnectTimeout;
+  Call.MaxIdle_ = MaxIdle;
+  Client_.startCall(std::move(Call), [this, Address](const HttpResult &Result) {
+    std::optional<HeartbeatBody> Body;
+    if (Result.Code_ == ResultCode::Ok)
+      Body = decodeHeartbeat(Result.Body_);
+    if (Body)
+      Membership_.receiveAnswer(*Body, getNow());
+    else
+      Membership_.noteFailure(Address, getNow());
     noteChange();
   });
 }
--- a/src/steering/peer_exchange_base.h
+++ b/src/steering/peer_exchange_base.h
@@ -2,7 +2,7 @@
 #ifndef CRANBERRY_STEERING_PEER_EXCHANGE_BASE_H
 #define CRANBERRY_STEERING_PEER_EXCHANGE_BASE_H
 
-#include "net/connection_pool_base.h"
+#include "net/http_client_base.h"
 #include "net/ingress_server_base.h"
 #include "observe/event_log_base.h"
 #include "process/membership_base.h"
@@ -44,14 +44,13 @@
   void handle(const IngressExchangePtr &Exchange);
   void noteChange();
 
-  boost::asio::io_context &Loop_;   ///< Loop.
   Duration Period_;                 ///< Between heartbeats.
   EventLog &Log_;                   ///< Log.
   std::function<void()> OnChange_;  ///< See the constructor.
   Membership Membership_;           ///< Decides who is alive.
   uint64_t ViewVersion_ = 0;        ///< Last one that was told.
   IngressServer Server_;            ///< Port for other entry VMs.
-  ConnectionPool Connections_;      ///< To other entry VMs.
+  HttpClient Client_;               ///< Connections to other entry VMs.
   boost::asio::steady_timer Timer_; ///< Next round.
 };
 
--- a/test/unit/steering_decision_test.cpp
+++ b/test/unit/steering_decision_test.cpp
@@ -39,6 +39,7 @@
   CHECK(classify(E::ConnectFailed) == O::NotSent);
   CHECK(classify(E::ConnectReset) == O::NotSent);
   CHECK(classify(E::Broken) == O::Unknown);
+  CHECK(classify(E::Truncated) == O::Unknown);
   CHECK(classify(E::Garbled) == O::Unknown);
   CHECK(classify(E::Answered, 200) == O::Deliver);
   CHECK(classify(E::Answered, 302) == O::Deliver);
