Fix: [Steering] A restarted VM knows no starts at cold servers

All VMs had been killed 0.6 s before. A new process has no record of what the earlier one started within that second, and until heartbeats come it takes the shares of the other VMs of its zone as well. A VM that a partition leaves alone does the same, for cold servers and for the slack of repeats.

A process now starts nothing at cold servers for its first window, and shares are divided by the largest count of VMs in the last 15 s. Ruled out: the way of the share itself (1/3 each before the kill).

Both tests fail without the change.

--- a/src/request/balanced_server.cpp
+++ b/src/request/balanced_server.cpp
@@ -159,7 +159,8 @@
 bool ServerState::isAvailable(Time Now) {
   if (Now < RestUntil_ || (IsOnTrial_ && !Attempts_.empty()))
     return false;
-  if (isCold(Now) && !ColdGate_.hasRoom(Config_.ColdRate_, Now))
+  if (isCold(Now) &&
+      (Now < Config_.ColdFrom_ || !ColdGate_.hasRoom(Config_.ColdRate_, Now)))
     return false;
   return !isSilent(Now);
 }
--- a/src/request/balancer_type.h
+++ b/src/request/balancer_type.h
@@ -35,6 +35,7 @@
   unsigned Slots_ = 1;  ///< Concurrent requests that it runs.
   Time ColdUntil_;      ///< End of its cold phase.
   double ColdRate_ = 0; ///< This VM's starts a second while it is cold.
+  Time ColdFrom_;       ///< Nothing starts at it before while it is cold.
   int64_t BornMs_ = 0;  ///< Tells restarts under the same id.
 };
 
--- a/src/request/rate_gate_base.h
+++ b/src/request/rate_gate_base.h
@@ -12,6 +12,9 @@
 /// bounds any span that straddles two of its refills.
 class RateGate {
 public:
+  /// A second, and some for differences in the ways to the server.
+  static constexpr Duration Window = milliseconds(1150);
+
   /// \return Whether another start keeps the window at \p Limit or less.
   bool hasRoom(double Limit, Time Now) {
     while (!Starts_.empty() && Starts_.front() + Window <= Now)
@@ -21,15 +24,7 @@
 
   void noteStart(Time Now) { Starts_.push_back(Now); }
 
-  /// \return When the next start leaves the window.
-  Time getNextRoom(Time Now) const {
-    return Starts_.empty() ? Now : Starts_.front() + Window;
-  }
-
 private:
-  /// A second, and some for differences in the ways to the server.
-  static constexpr Duration Window = milliseconds(1150);
-
   std::deque<Time> Starts_; ///< Starts within the window.
 };
 
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -52,7 +52,7 @@
                              const Settings &Config, EventLog &Log,
                              Metrics &Counters)
     : Loop_(Loop), Settings_(Config), Log_(Log), Metrics_(Counters),
-      Locator_(Config), Connections_(Loop),
+      Locator_(Config, getNow()), Connections_(Loop),
       Gate_(ShiftShare * Config.MaxRegionShift_) {}
 
 ServicePool &RequestRouter::getPool(const std::string &Service) {
@@ -77,6 +77,7 @@
 
 void RequestRouter::setServers(const ServerRegistry &Registry,
                                const MemberList &Members) {
+  Locator_.setMembers(Members, getNow());
   std::map<std::string, std::vector<BalancedServer>> ByService;
   for (auto &[Name, Pool] : Pools_) {
     ByService[Name];
@@ -85,7 +86,7 @@
   for (const UsableServer &Server : Registry.getUsable()) {
     const ServerRecord &Record = Server.Record_;
     ByService[Record.Service_].push_back(
-        Locator_.locate(Server, Members, Config_.get()));
+        Locator_.locate(Server, Config_.get()));
     getPool(Record.Service_).Servers_[Record.Id_] = Record;
   }
   for (auto &[Name, Servers] : ByService) {
@@ -93,7 +94,7 @@
     Pool.Balancer_.setServers(Servers);
     Pool.Budget_.setLimits({Settings_.RepeatRatio_, Settings_.RepeatSlack_,
                             Settings_.RepeatWindow_},
-                           static_cast<unsigned>(Members.size()));
+                           Locator_.getVmCount());
     scheduleStep(Pool);
   }
 }
--- a/src/steering/server_locator.cpp
+++ b/src/steering/server_locator.cpp
@@ -2,6 +2,7 @@
 #include "steering/server_locator_base.h"
 
 #include "core/duration_func.h"
+#include "request/rate_gate_base.h"
 
 #include <algorithm>
 
@@ -59,27 +60,42 @@
     Known = std::min(Took, Known + scale(Took - Known, RoundTripGain));
 }
 
-double ServerLocator::getColdShare(const ServerRecord &Record,
-                                   const MemberList &Vms) const {
-  // A cold server is warmed up by the VMs of its zone alone; by those of its
-  // region, then by all, if the zone has none.
-  const std::string &Region = getRegion(Record.Zone_);
-  unsigned InZone = 0;
-  unsigned InRegion = 0;
+void ServerLocator::setMembers(const MemberList &Vms, Time Now) {
+  std::map<std::string, unsigned> InZone;
+  std::map<std::string, unsigned> InRegion;
   for (const Member &Vm : Vms) {
-    InZone += Vm.Zone_ == Record.Zone_ ? 1 : 0;
-    InRegion += Vm.Region_ == Region ? 1 : 0;
+    ++InZone[Vm.Zone_];
+    ++InRegion[Vm.Region_];
   }
+  for (const auto &[Zone, Region] : Settings_.Zones_) {
+    Group &Same = InZone_[Zone];
+    Same.Count_ = Same.Peak_.note(InZone[Zone], Now);
+  }
+  for (const auto &[Region, Count] : InRegion)
+    InRegion_.try_emplace(Region);
+  for (auto &[Region, Same] : InRegion_)
+    Same.Count_ = Same.Peak_.note(InRegion[Region], Now);
+  All_.Count_ = All_.Peak_.note(static_cast<unsigned>(Vms.size()), Now);
+}
+
+double ServerLocator::getColdShare(const ServerRecord &Record) const {
+  // A cold server is warmed up by the VMs of its zone alone; by those of its
+  // region, then by all, if the zone has none.
+  auto Count = [](const std::map<std::string, Group> &Groups,
+                  const std::string &Name) {
+    auto Found = Groups.find(Name);
+    return Found == Groups.end() ? 0U : Found->second.Count_;
+  };
   Proximity Where = getProximity(Record.Zone_);
-  if (InZone > 0)
+  if (unsigned InZone = Count(InZone_, Record.Zone_); InZone > 0)
     return Where == Proximity::SameZone ? 1.0 / InZone : 0;
-  if (InRegion > 0)
+  if (unsigned InRegion = Count(InRegion_, getRegion(Record.Zone_));
+      InRegion > 0)
     return Where != Proximity::OtherRegion ? 1.0 / InRegion : 0;
-  return 1.0 / static_cast<double>(std::max<size_t>(1, Vms.size()));
+  return 1.0 / std::max(1U, All_.Count_);
 }
 
 BalancedServer ServerLocator::locate(const UsableServer &Server,
-                                     const MemberList &Vms,
                                      const RoutingConfig *Config) const {
   const ServerRecord &Record = Server.Record_;
   BalancedServer Result;
@@ -90,13 +106,14 @@
   Result.RoundTrip_ = getRoundTrip(Record.Zone_);
   Result.Slots_ = Record.Slots_;
   Result.ColdUntil_ = Server.ColdUntil_;
+  Result.ColdFrom_ = Started_ + RateGate::Window;
   Result.BornMs_ = Record.BornMs_;
   if (!Config)
     return Result;
   for (const BackendServiceConfig &Service : Config->Services_)
     if (Service.Name_ == Record.Service_)
-      Result.ColdRate_ = Service.ColdRate_ * Settings_.ColdBurstFactor_ *
-                         getColdShare(Record, Vms);
+      Result.ColdRate_ =
+          Service.ColdRate_ * Settings_.ColdBurstFactor_ * getColdShare(Record);
   return Result;
 }
 
--- a/src/steering/server_locator_base.h
+++ b/src/steering/server_locator_base.h
@@ -4,6 +4,7 @@
 
 #include "daemon/settings_type.h"
 #include "process/member_type.h"
+#include "process/peak_count_base.h"
 #include "request/balancer_type.h"
 #include "version/routing_type.h"
 #include "version/server_registry_base.h"
@@ -17,7 +18,12 @@
 /// rates of cold servers among the entry VMs.
 class ServerLocator {
 public:
-  explicit ServerLocator(const Settings &Config) : Settings_(Config) {}
+  /// \param Started Start of this process.
+  ServerLocator(const Settings &Config, Time Started)
+      : Settings_(Config), Started_(Started) {}
+
+  /// Takes over the list of entry VMs.
+  void setMembers(const MemberList &Vms, Time Now);
 
   Proximity getProximity(const std::string &Zone) const;
 
@@ -34,13 +40,26 @@
   void noteConnect(const std::string &Zone, Duration Took);
 
   /// \return \p Server as its service's balancer sees it.
-  BalancedServer locate(const UsableServer &Server, const MemberList &Vms,
+  BalancedServer locate(const UsableServer &Server,
                         const RoutingConfig *Config) const;
 
+  /// \return Entry VMs that may serve, by a recent count.
+  unsigned getVmCount() const { return All_.Count_; }
+
 private:
-  double getColdShare(const ServerRecord &Record, const MemberList &Vms) const;
+  /// Entry VMs of a zone, of a region, or of all.
+  struct Group {
+    unsigned Count_ = 0; ///< Largest recent count.
+    PeakCount Peak_;     ///< Finds it.
+  };
+
+  double getColdShare(const ServerRecord &Record) const;
 
   const Settings &Settings_;                   ///< Zones, and where this VM is.
+  Time Started_;                               ///< Start of this process.
+  std::map<std::string, Group> InZone_;        ///< By zone.
+  std::map<std::string, Group> InRegion_;      ///< By region.
+  Group All_;                                  ///< All.
   std::map<std::string, Duration> RoundTrips_; ///< Measured, by far region.
 };
 
--- a/test/unit/service_balancer_test.cpp
+++ b/test/unit/service_balancer_test.cpp
@@ -227,6 +227,18 @@
   CHECK(Started > 0);
 }
 
+TEST_CASE("balancer: nothing starts at a cold server before its time") {
+  Fixture F;
+  BalancedServer Cold = makeServer("a", Proximity::SameZone, 50);
+  Cold.ColdUntil_ = F.Now_ + seconds(3);
+  Cold.ColdRate_ = 8;
+  Cold.ColdFrom_ = F.Now_ + seconds(1);
+  F.Balancer_.setServers({Cold});
+  CHECK(getStarted(F.submit(F.make())).empty());
+  F.Now_ += milliseconds(1001);
+  CHECK_FALSE(getStarted(F.submit(F.make())).empty());
+}
+
 TEST_CASE("balancer: a server that can't be reached rests, then is on trial") {
   Fixture F;
   F.Balancer_.setServers({makeServer("a"), makeServer("b")});
--- a/test/unit/steering_decision_test.cpp
+++ b/test/unit/steering_decision_test.cpp
@@ -8,6 +8,7 @@
 #include "request/work_history_base.h"
 #include "steering/attempt_outcome_func.h"
 #include "steering/heartbeat_codec_func.h"
+#include "steering/server_locator_base.h"
 
 #include <catch2/catch.hpp>
 
@@ -229,3 +230,47 @@
   Log.write(Now + seconds(1), "refuse", {});
   CHECK(Log.getPending().find("\"leftOut\":960") != std::string::npos);
 }
+
+TEST_CASE("a cold server's rate is shared with VMs that have just vanished") {
+  Settings Config;
+  Config.Zone_ = "z1";
+  Config.Region_ = "r";
+  Config.Zones_ = {{"z1", "r"}, {"z2", "r"}, {"y1", "s"}};
+  RoutingConfig Routing;
+  Routing.Services_.resize(1);
+  Routing.Services_[0].Name_ = "pay";
+  Routing.Services_[0].ColdRate_ = 12;
+  auto MakeVm = [](const char *Name, const char *Zone, const char *Region) {
+    Member Vm;
+    Vm.Vm_ = Name;
+    Vm.Zone_ = Zone;
+    Vm.Region_ = Region;
+    return Vm;
+  };
+  MemberList Vms{MakeVm("a", "z1", "r"), MakeVm("b", "z1", "r"),
+                 MakeVm("c", "z2", "r")};
+  Time Start = Time(seconds(100));
+  ServerLocator Locator(Config, Start);
+  auto GetRate = [&](const char *Zone) {
+    UsableServer Server;
+    Server.Record_.Service_ = "pay";
+    Server.Record_.Zone_ = Zone;
+    return Locator.locate(Server, &Routing).ColdRate_;
+  };
+  Locator.setMembers(Vms, Start);
+  CHECK(GetRate("z1") == Approx(6));
+  CHECK(GetRate("z2") == Approx(0));
+  CHECK(GetRate("y1") == Approx(4));
+  CHECK(Locator.getVmCount() == 3);
+  // Alone: the others may still be at work behind a partition.
+  MemberList Alone{Vms[0]};
+  Locator.setMembers(Alone, Start + seconds(2));
+  CHECK(GetRate("z1") == Approx(6));
+  CHECK(Locator.getVmCount() == 3);
+  Locator.setMembers(Alone, Start + seconds(20));
+  CHECK(GetRate("z1") == Approx(12));
+  CHECK(GetRate("z2") == Approx(12));
+  CHECK(Locator.getVmCount() == 1);
+  // What an earlier process of this VM started is not known.
+  CHECK(Locator.locate({}, &Routing).ColdFrom_ > Start + seconds(1));
+}
