Feature: [Daemon] Settings change at run time; the tool explains a request

The settings file was read at the start only, SIGHUP was logged on the platform path and ended a process of the project's own interface.

cranberryctl explain REQUEST tells from a log on standard input or in a file what became of a request: its decisions, what the entry VM believed then, and the cause. The rate of log lines is a setting.

Tests: settings taken over with and without a signal, file at fault, all faults at once, explanation of a lost and of a served request.

--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -3,6 +3,7 @@
 
 #include "core/not_reached_func.h"
 #include "ctl/fleet_status_func.h"
+#include "ctl/log_explanation_base.h"
 #include "ctl/print_func.h"
 #include "net/blocking_call_func.h"
 #include "net/event_loop_base.h"
@@ -243,6 +244,33 @@
   return waitDrained(Call, What, Name);
 }
 
+ExitCode explainRequest(const Invocation &Call) {
+  LogExplanation Told(Call.Arguments_[0]);
+  std::ifstream File;
+  bool IsInput = Call.File_.empty() || Call.File_ == "-";
+  if (!IsInput) {
+    File.open(Call.File_);
+    if (!File) {
+      std::cerr << "cranberryctl: can't read " << Call.File_ << "\n";
+      return ExitCode::Usage;
+    }
+  }
+  std::istream &In = IsInput ? std::cin : File;
+  uint64_t Others = 0;
+  for (std::string Line; std::getline(In, Line);)
+    Others += Told.take(Line) ? 0 : 1;
+  if (Others > 0)
+    std::cerr << "cranberryctl: " << Others << " lines are no log lines\n";
+  if (!Told.isFound()) {
+    std::cerr << "cranberryctl: no line tells of " << Call.Arguments_[0]
+              << "\n";
+    return ExitCode::Refused;
+  }
+  for (const std::string &Line : Told.tell())
+    std::cout << Line << "\n";
+  return ExitCode::Ok;
+}
+
 } // namespace
 
 ExitCode runCommand(const Invocation &Call) {
@@ -268,6 +296,8 @@
                : ExitCode::Usage;
   case Command::Validate:
     return validate(Call);
+  case Command::ExplainRequest:
+    return explainRequest(Call);
   case Command::Explain:
     return print(Call,
                  "/v1/explain?service=" + Words[0] + "&client=" + Words[1],
--- a/src/ctl/command_type.h
+++ b/src/ctl/command_type.h
@@ -10,16 +10,17 @@
 
 /// What the tool is asked to do.
 enum class Command : uint8_t {
-  Apply,    ///< Writes the objects of a file.
-  Get,      ///< Prints one object.
-  List,     ///< Prints all objects of a kind.
-  Delete,   ///< Deletes an object.
-  Watch,    ///< Prints changes as they come.
-  Status,   ///< Prints the state of the fleet.
-  Drain,    ///< Drains a server or entry VM, with progress.
-  Undrain,  ///< Ends a drain.
-  Validate, ///< Checks the objects of a file without writing.
-  Explain,  ///< Says why a client's requests go where they go.
+  Apply,          ///< Writes the objects of a file.
+  Get,            ///< Prints one object.
+  List,           ///< Prints all objects of a kind.
+  Delete,         ///< Deletes an object.
+  Watch,          ///< Prints changes as they come.
+  Status,         ///< Prints the state of the fleet.
+  Drain,          ///< Drains a server or entry VM, with progress.
+  Undrain,        ///< Ends a drain.
+  Validate,       ///< Checks the objects of a file without writing.
+  Explain,        ///< Says why a client's requests go where they go.
+  ExplainRequest, ///< Says from logs what became of a request.
 };
 
 /// Exit codes.
--- /dev/null
+++ b/src/ctl/log_explanation.cpp
@@ -0,0 +1,221 @@
+/// \file log_explanation.cpp What became of a request, told from logs.
+#include "ctl/log_explanation_base.h"
+
+#include "core/result_func.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+
+using nlohmann::json;
+
+namespace cranberry {
+
+namespace {
+
+/// How far back other requests' failures are told of.
+constexpr double FailureSpan = 2;
+
+std::string getText(const json &Line, const char *Name) {
+  auto Found = Line.find(Name);
+  return Found != Line.end() && Found->is_string() ? Found->get<std::string>()
+                                                   : "";
+}
+
+double getNumber(const json &Line, const char *Name) {
+  auto Found = Line.find(Name);
+  return Found != Line.end() && Found->is_number() ? Found->get<double>() : 0;
+}
+
+std::string formatMs(double Value) { return absl::StrFormat("%.0f ms", Value); }
+
+/// \return A line of the request in words.
+std::string describe(const json &Line) {
+  std::string Event = getText(Line, "event");
+  if (Event == "start")
+    return absl::StrCat("sent to ", getText(Line, "server"), " (",
+                        getText(Line, "where"), "), by configuration ",
+                        getNumber(Line, "version"), "; its load was taken for ",
+                        getNumber(Line, "busy"), ", told ",
+                        formatMs(getNumber(Line, "loadAgeMs")), " before; ",
+                        getNumber(Line, "queue"), " waited; expected ",
+                        formatMs(getNumber(Line, "expectedMs")));
+  if (Event == "refuse")
+    return absl::StrCat(
+        "refused (", getText(Line, "cause"), ") after ",
+        formatMs(getNumber(Line, "waitedMs")), "; an answer was expected in ",
+        formatMs(getNumber(Line, "predictedMs")), "; ",
+        getNumber(Line, "queue"), " waited, ", getNumber(Line, "inFlight"),
+        " ran at ", getNumber(Line, "servers"), " servers");
+  if (Event == "attempt")
+    return absl::StrCat(
+        "attempt at ", getText(Line, "server"),
+        " ended: ", getText(Line, "end"), ", status ",
+        getNumber(Line, "status"), ", taken as ", getText(Line, "outcome"),
+        ", after ", formatMs(getNumber(Line, "ranMs")), " where ",
+        formatMs(getNumber(Line, "expectedMs")), " were expected; ",
+        getNumber(Line, "reused") > 0 ? "used" : "new", " connection; ",
+        getNumber(Line, "budgetLeft"), " repeats were left");
+  if (Event == "suspect")
+    return absl::StrCat("its server ", getText(Line, "server"), " was overdue");
+  if (Event == "reject")
+    return absl::StrCat("not routed: ", getText(Line, "result"), ", host '",
+                        getText(Line, "host"), "', configuration ",
+                        getNumber(Line, "version"));
+  return absl::StrCat(
+      "ended: ", getNumber(Line, "code"), " ", getText(Line, "result"),
+      " after ", formatMs(getNumber(Line, "takenMs")), ", of which ",
+      formatMs(getNumber(Line, "queuedMs")), " waiting here; objective ",
+      formatMs(getNumber(Line, "objectiveMs")), "; ",
+      getNumber(Line, "servers"), " servers");
+}
+
+bool isEnd(const std::string &Event) {
+  return Event == "request" || Event == "request-failed" || Event == "reject";
+}
+
+} // namespace
+
+bool LogExplanation::take(const std::string &Text) {
+  size_t Brace = Text.find('{');
+  if (Brace == std::string::npos)
+    return false;
+  json Line = json::parse(Text.substr(Brace), nullptr, false);
+  if (!Line.is_object() || !Line.contains("event") || !Line.contains("vm"))
+    return false;
+  VmState &Vm = Vms_[getText(Line, "vm")];
+  follow(Vm, Line);
+  if (getText(Line, "request") == Request_)
+    keep(Vm, Line);
+  return true;
+}
+
+void LogExplanation::follow(VmState &Vm, const json &Line) {
+  std::string Event = getText(Line, "event");
+  double At = getNumber(Line, "t");
+  Vm.LeftOut_ += static_cast<uint64_t>(getNumber(Line, "leftOut"));
+  if (Event == "server")
+    Vm.Servers_[getText(Line, "server")] = Line;
+  else if (Event == "config")
+    Vm.Config_ = Line;
+  else if (Event == "evacuations")
+    Vm.Evacuated_ = getText(Line, "zones");
+  else if (Event == "store-lost")
+    Vm.StoreLost_.emplace(getText(Line, "kind"), At);
+  else if (Event == "store-regained")
+    Vm.StoreLost_.erase(getText(Line, "kind"));
+  else if (Event == "attempt")
+    Vm.Failures_.push_back({At, getText(Line, "server"), getText(Line, "end")});
+  while (!Vm.Failures_.empty() && Vm.Failures_.front().At_ < At - FailureSpan)
+    Vm.Failures_.pop_front();
+}
+
+void LogExplanation::keep(const VmState &Vm, const json &Line) {
+  double At = getNumber(Line, "t");
+  std::string Event = getText(Line, "event");
+  if (!Began_) {
+    Began_ = At;
+    LeftOut_ = Vm.LeftOut_;
+    Lines_.push_back(absl::StrCat("request ", Request_, " on ",
+                                  getText(Line, "vm"), ", service ",
+                                  getText(Line, "service")));
+    tellBeliefs(Vm, Line);
+  }
+  Lines_.push_back(absl::StrFormat("%+8.3f s  ", At - *Began_) +
+                   describe(Line));
+  if (Event == "start") {
+    Start_ = Line;
+    tellServer(Vm, Line);
+  } else if (Event == "attempt") {
+    Attempt_ = Line;
+  } else if (Event == "refuse") {
+    Refusal_ = Line;
+  } else if (isEnd(Event)) {
+    End_ = Line;
+    LeftOut_ = Vm.LeftOut_ - LeftOut_;
+  }
+}
+
+void LogExplanation::tellBeliefs(const VmState &Vm, const json &Line) {
+  double At = getNumber(Line, "t");
+  if (Vm.Config_)
+    Lines_.push_back(absl::StrCat(
+        "  configuration ", getNumber(*Vm.Config_, "version"), " since ",
+        absl::StrFormat("%.1f s", At - getNumber(*Vm.Config_, "t"))));
+  for (const auto &[Kind, Since] : Vm.StoreLost_)
+    Lines_.push_back(absl::StrFormat("  store not reached for %s for %.1f s",
+                                     Kind, At - Since));
+  if (!Vm.Evacuated_.empty())
+    Lines_.push_back("  evacuated zones: " + Vm.Evacuated_);
+  std::map<std::string, unsigned> Failed;
+  for (const Failure &Each : Vm.Failures_)
+    ++Failed[Each.Server_ + " " + Each.End_];
+  for (const auto &[What, Count] : Failed)
+    Lines_.push_back(absl::StrFormat("  in the %.0f s before: %u x %s",
+                                     FailureSpan, Count, What));
+}
+
+void LogExplanation::tellServer(const VmState &Vm, const json &Line) {
+  auto Known = Vm.Servers_.find(getText(Line, "server"));
+  if (Known == Vm.Servers_.end())
+    return;
+  const json &Last = Known->second;
+  double Age = getNumber(Line, "t") - getNumber(Last, "t");
+  Lines_.push_back(
+      absl::StrFormat("            the server's entry changed %.1f s before, "
+                      "revision %.0f:%s%s%s",
+                      Age, getNumber(Last, "revision"),
+                      getNumber(Last, "removed") > 0 ? " removed" : "",
+                      getNumber(Last, "draining") > 0 ? " draining" : "",
+                      getNumber(Last, "coldMs") > 0
+                          ? " cold for " + formatMs(getNumber(Last, "coldMs"))
+                          : ""));
+}
+
+std::string LogExplanation::tellEnd() const {
+  if (End_.is_null())
+    return "no line tells its end: it is open, or the line was left out";
+  std::string Result = getText(End_, "result");
+  double Taken = getNumber(End_, "takenMs");
+  double Objective = getNumber(End_, "objectiveMs");
+  double Queued = getNumber(End_, "queuedMs");
+  if (Result == "ok" && Taken <= Objective)
+    return "answered in time";
+  if (Result == "ok" && Queued > Taken / 2)
+    return "late, mostly by waiting on this entry VM: no server had a free "
+           "slot";
+  if (Result == "ok")
+    return absl::StrCat("late by its server: ", formatMs(Taken - Queued),
+                        " where ", formatMs(getNumber(Start_, "expectedMs")),
+                        " were expected");
+  if (!Refusal_.is_null() && getNumber(Refusal_, "servers") == 0)
+    return "no server of the service was usable";
+  if (!Refusal_.is_null() && getText(Refusal_, "cause") == "no-room")
+    return absl::StrCat(
+        "given up before it was sent: the answer was expected in ",
+        formatMs(getNumber(Refusal_, "predictedMs")), ", the objective is ",
+        formatMs(Objective),
+        "; free slots may be at servers that are cold, resting or far");
+  std::optional<ResultCode> Code =
+      findResultCode(static_cast<unsigned>(getNumber(End_, "code")));
+  std::string Cause = Code ? getSummary(*Code) : Result;
+  if (!Attempt_.is_null())
+    return absl::StrCat(Cause, "; the last attempt, at ",
+                        getText(Attempt_, "server"), ", ended ",
+                        getText(Attempt_, "end"));
+  return Cause;
+}
+
+std::vector<std::string> LogExplanation::tell() const {
+  std::vector<std::string> Result = Lines_;
+  Result.push_back("cause: " + tellEnd());
+  if (LeftOut_ > 0 && !End_.is_null())
+    Result.push_back(absl::StrCat(
+        "note: ", LeftOut_,
+        " lines were left out meanwhile, perhaps also of this request; "
+        "logLinesPerSecond raises the rate"));
+  return Result;
+}
+
+} // namespace cranberry
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -27,17 +27,19 @@
   return static_cast<int>(ExitCode::Usage);
 }
 
-const CommandRow *findCommand(const std::string &Name) {
+/// Rows may share a name if their arguments differ.
+const CommandRow *findCommand(const std::string &Name, size_t Arguments) {
+  const CommandRow *Found = nullptr;
   for (const CommandRow &Row : CommandTable)
-    if (Row.Name_ == Name)
-      return &Row;
-  return nullptr;
+    if (Row.Name_ == Name && (!Found || Row.Arguments_ == Arguments))
+      Found = &Row;
+  return Found;
 }
 
 int run(const boost::program_options::variables_map &Given, Invocation Call) {
   std::vector<std::string> Words =
       Given["words"].as<std::vector<std::string>>();
-  const CommandRow *Row = findCommand(Words.front());
+  const CommandRow *Row = findCommand(Words.front(), Words.size() - 1);
   if (!Row)
     return failUsage("no command is called '" + Words.front() + "'");
   Call.Command_ = Row->Command_;
@@ -50,7 +52,7 @@
   if (Output != "table" && Output != "json")
     return failUsage("--output is 'table' or 'json'");
   Call.IsJson_ = Output == "json";
-  if (Call.Endpoint_.empty())
+  if (Row->NeedsVm_ && Call.Endpoint_.empty())
     return failUsage("--endpoint or CRANBERRY_ENDPOINT is needed");
   return static_cast<int>(runCommand(Call));
 }
@@ -66,7 +68,7 @@
   Flags.add_options()
       ("endpoint", po::value(&Call.Endpoint_)
           ->default_value(Endpoint ? Endpoint : ""), "address:port of an entry VM")
-      ("file,f", po::value(&Call.File_), "file with objects, JSON; - is stdin")
+      ("file,f", po::value(&Call.File_), "file with objects, JSON, or a log; - is stdin")
       ("version", po::value(&Call.Version_), "version that must be there; 0: none")
       ("wait", po::value(&Call.WaitSeconds_), "longest wait, in seconds")
       ("output,o", po::value<std::string>()->default_value("table"), "table or json")
--- a/src/ctl/table/command_table.h
+++ b/src/ctl/table/command_table.h
@@ -12,22 +12,24 @@
   const char *Name_;   ///< Word on the command line.
   unsigned Arguments_; ///< Number of words that must follow.
   bool NeedsFile_;     ///< Whether --file must be given.
+  bool NeedsVm_;       ///< Whether it calls an entry VM.
   const char *Usage_;  ///< Arguments for the help text.
   const char *Help_;   ///< One line of help.
 };
 
 // clang-format off
 inline constexpr CommandRow CommandTable[] = {
-    {Command::Apply, "apply", 0, true, "--file FILE [--version N]", "write the objects of a file"},
-    {Command::Get, "get", 2, false, "KIND NAME", "print one object"},
-    {Command::List, "list", 1, false, "KIND", "print all objects of a kind"},
-    {Command::Delete, "delete", 2, false, "KIND NAME [--version N]", "delete an object"},
-    {Command::Watch, "watch", 0, false, "[--wait SECONDS]", "print changes as they come"},
-    {Command::Status, "status", 0, false, "", "regions, headroom, drains, versions, problems"},
-    {Command::Drain, "drain", 2, false, "server|vm NAME [--wait SECONDS]", "drain and show progress"},
-    {Command::Undrain, "undrain", 2, false, "server|vm NAME", "end a drain"},
-    {Command::Validate, "validate", 0, true, "--file FILE", "check the objects of a file"},
-    {Command::Explain, "explain", 2, false, "SERVICE CLIENT", "why requests go where they go"},
+    {Command::Apply, "apply", 0, true, true, "--file FILE [--version N]", "write the objects of a file"},
+    {Command::Get, "get", 2, false, true, "KIND NAME", "print one object"},
+    {Command::List, "list", 1, false, true, "KIND", "print all objects of a kind"},
+    {Command::Delete, "delete", 2, false, true, "KIND NAME [--version N]", "delete an object"},
+    {Command::Watch, "watch", 0, false, true, "[--wait SECONDS]", "print changes as they come"},
+    {Command::Status, "status", 0, false, true, "", "regions, headroom, drains, versions, problems"},
+    {Command::Drain, "drain", 2, false, true, "server|vm NAME [--wait SECONDS]", "drain and show progress"},
+    {Command::Undrain, "undrain", 2, false, true, "server|vm NAME", "end a drain"},
+    {Command::Validate, "validate", 0, true, true, "--file FILE", "check the objects of a file"},
+    {Command::Explain, "explain", 2, false, true, "SERVICE CLIENT", "why requests go where they go"},
+    {Command::ExplainRequest, "explain", 1, false, false, "REQUEST [--file LOG]", "what became of a request, from a log or standard input"},
 };
 // clang-format on
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,6 +2,7 @@
 #include "core/result_func.h"
 #include "daemon/daemon_base.h"
 #include "daemon/settings_func.h"
+#include "daemon/settings_reload_base.h"
 #include "steering/steering_vm_base.h"
 
 #include <boost/program_options.hpp>
@@ -20,8 +21,9 @@
 constexpr const char *SettingsVariable = "CRANBERRYPOST_CONFIG";
 constexpr int ExitDirtyDrain = 3;
 
-int fail(const cranberry::Reason &Why) {
-  std::cerr << "cranberryd: " << cranberry::formatReason(Why) << "\n";
+int fail(const std::vector<cranberry::Reason> &Faults) {
+  for (const cranberry::Reason &Why : Faults)
+    std::cerr << "cranberryd: " << cranberry::formatReason(Why) << "\n";
   return ExitSettings;
 }
 
@@ -35,34 +37,44 @@
 }
 
 /// Serves the routes that the store holds.
-int steer(const cranberry::Settings &Settings) {
+int steer(const cranberry::Settings &Settings, const std::string &Path) {
   signal(SIGPIPE, SIG_IGN);
-  cranberry::SteeringVm Process(Settings, makeIncarnation());
+  cranberry::SteeringVm Process(Settings, Path, makeIncarnation());
   cranberry::Reason Why;
   if (!Process.start(Why))
-    return fail(Why);
+    return fail({Why});
   Process.run();
   return 0;
 }
 
 /// Serves the project's own interface.
-int serve(const cranberry::Settings &Settings) {
+int serve(cranberry::Settings Settings, const std::string &Path) {
   sigset_t Signals;
   sigemptyset(&Signals);
   sigaddset(&Signals, SIGTERM);
   sigaddset(&Signals, SIGINT);
+  sigaddset(&Signals, SIGHUP);
   // Blocked before any thread starts, so that all threads inherit it.
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
   cranberry::Daemon Process(Settings, makeIncarnation());
   cranberry::Reason Why;
   if (!Process.start(Why))
-    return fail(Why);
+    return fail({Why});
   std::cout << "ready vm=" << Settings.Vm_
             << " http=" << Process.getHttpAddress()
             << " peer=" << Process.getPeerAddress() << std::endl;
+  cranberry::SettingsFile File(Path);
   int Signal = 0;
-  sigwait(&Signals, &Signal);
+  while (sigwait(&Signals, &Signal) == 0 && Signal == SIGHUP) {
+    // Its threads hold copies, so that every key needs a restart.
+    cranberry::SettingsChange Change = File.takeChanges(Settings);
+    for (const cranberry::Reason &Why : Change.Faults_)
+      LOG(WARNING) << "settings refused: " << cranberry::formatReason(Why);
+    LOG(INFO) << "reload changed-keys="
+              << Change.Taken_.size() + Change.NeedRestart_.size()
+              << " take effect at the next start";
+  }
   bool IsClean = Process.drain();
   google::FlushLogFiles(google::INFO);
   // Requests that are still open hold on to the ports and threads, which can't
@@ -80,7 +92,8 @@
   // clang-format off
   Flags.add_options()
       ("settings", po::value<std::string>(), "settings file, JSON")
-      ("check", "check the settings and exit")
+      ("check-settings", "check the settings, name all faults, and exit")
+      ("check", "the same")
       ("version", "print the version and exit")
       ("help", "print this and exit");
   // clang-format on
@@ -88,7 +101,7 @@
   try {
     po::store(po::parse_command_line(Argc, Argv, Flags), Given);
   } catch (const po::error &Error) {
-    return fail({cranberry::ResultCode::FlagInvalid, "", Error.what()});
+    return fail({{cranberry::ResultCode::FlagInvalid, "", Error.what()}});
   }
   if (Given.count("help")) {
     std::cout << Flags;
@@ -100,22 +113,23 @@
   }
   const char *FromEnvironment = std::getenv(SettingsVariable);
   if (!Given.count("settings") && !FromEnvironment)
-    return fail({cranberry::ResultCode::FlagInvalid, "--settings",
-                 "a settings file is needed"});
-  cranberry::Reason Why;
-  std::optional<cranberry::Settings> Settings = cranberry::readSettings(
-      Given.count("settings") ? Given["settings"].as<std::string>()
-                              : FromEnvironment,
-      Why);
+    return fail({{cranberry::ResultCode::FlagInvalid, "--settings",
+                  "a settings file is needed"}});
+  std::string Path = Given.count("settings")
+                         ? Given["settings"].as<std::string>()
+                         : FromEnvironment;
+  std::vector<cranberry::Reason> Faults;
+  std::optional<cranberry::Settings> Settings =
+      cranberry::readSettings(Path, Faults);
   if (!Settings)
-    return fail(Why);
-  if (Given.count("check")) {
+    return fail(Faults);
+  if (Given.count("check") || Given.count("check-settings")) {
     std::cout << "settings are valid\n";
     return 0;
   }
   if (!Settings->Directory_.empty())
-    return steer(*Settings);
+    return steer(*Settings, Path);
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(Argv[0]);
-  return serve(*Settings);
+  return serve(*Settings, Path);
 }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -156,45 +156,52 @@
 
 } // namespace
 
-std::optional<Settings> parseSettings(const std::string &Text, Reason &Why) {
+std::optional<Settings> parseSettings(const std::string &Text,
+                                      std::vector<Reason> &Faults) {
+  Faults.clear();
   json Root;
   try {
     Root = json::parse(Text);
   } catch (const json::parse_error &Error) {
-    Why = {ResultCode::SettingsNotJson, "", Error.what()};
+    Faults.push_back({ResultCode::SettingsNotJson, "", Error.what()});
     return std::nullopt;
   }
   if (!Root.is_object()) {
-    Why = {ResultCode::SettingsNotJson, "", "not an object"};
+    Faults.push_back({ResultCode::SettingsNotJson, "", "not an object"});
     return std::nullopt;
   }
   Settings Result;
   for (const auto &[Key, Value] : Root.items()) {
     const SettingsRow *Row = findRow(Key);
-    if (!Row) {
-      Why = {ResultCode::SettingsUnknownKey, Key, ""};
-      return std::nullopt;
-    }
-    if (!FieldSetter(Result, *Row, Value, Why).set())
-      return std::nullopt;
+    Reason Why;
+    if (!Row)
+      Faults.push_back({ResultCode::SettingsUnknownKey, Key, ""});
+    else if (!FieldSetter(Result, *Row, Value, Why).set())
+      Faults.push_back(Why);
   }
   for (const SettingsRow &Row : SettingsTable)
-    if (Row.Required_ && !Root.contains(Row.Key_)) {
-      Why = {ResultCode::SettingsMissingKey, Row.Key_, ""};
-      return std::nullopt;
-    }
+    if (Row.Required_ && !Root.contains(Row.Key_))
+      Faults.push_back({ResultCode::SettingsMissingKey, Row.Key_, ""});
+  if (!Faults.empty())
+    return std::nullopt;
   return Result;
 }
 
-std::optional<Settings> readSettings(const std::string &Path, Reason &Why) {
+std::optional<std::string> readSettingsText(const std::string &Path) {
   std::ifstream File(Path);
-  if (!File) {
-    Why = {ResultCode::SettingsFileMissing, "", Path};
+  if (!File)
     return std::nullopt;
-  }
   std::stringstream Text;
   Text << File.rdbuf();
-  return parseSettings(Text.str(), Why);
+  return Text.str();
+}
+
+std::optional<Settings> readSettings(const std::string &Path,
+                                     std::vector<Reason> &Faults) {
+  if (std::optional<std::string> Text = readSettingsText(Path))
+    return parseSettings(*Text, Faults);
+  Faults = {{ResultCode::SettingsFileMissing, "", Path}};
+  return std::nullopt;
 }
 
 } // namespace cranberry
--- /dev/null
+++ b/src/daemon/settings_reload.cpp
@@ -0,0 +1,44 @@
+/// \file settings_reload.cpp Settings that change while a process runs.
+#include "daemon/settings_reload_base.h"
+
+#include "daemon/settings_func.h"
+#include "daemon/table/settings_table.h"
+
+#include <utility>
+
+namespace cranberry {
+
+SettingsChange takeReloadable(Settings &Current, const Settings &Next) {
+  SettingsChange Result;
+  for (const SettingsRow &Row : SettingsTable)
+    std::visit(
+        [&](auto Field) {
+          if (Current.*Field == Next.*Field)
+            return;
+          if (!Row.IsReloadable_) {
+            Result.NeedRestart_.emplace_back(Row.Key_);
+            return;
+          }
+          Current.*Field = Next.*Field;
+          Result.Taken_.emplace_back(Row.Key_);
+        },
+        Row.Field_);
+  return Result;
+}
+
+SettingsFile::SettingsFile(std::string Path) : Path_(std::move(Path)) {
+  Text_ = readSettingsText(Path_).value_or("");
+}
+
+SettingsChange SettingsFile::takeChanges(Settings &Current) {
+  std::optional<std::string> Text = readSettingsText(Path_);
+  // A file that is being replaced is there again at the next look.
+  if (!Text || *Text == Text_)
+    return {};
+  Text_ = *Text;
+  SettingsChange Result;
+  std::optional<Settings> Next = parseSettings(Text_, Result.Faults_);
+  return Next ? takeReloadable(Current, *Next) : Result;
+}
+
+} // namespace cranberry
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -47,6 +47,7 @@
   double MaxRegionShift_ = 1;  ///< Most of a region's requests that may change
                                ///< the region where they run within 2 s.
   double ColdBurstFactor_ = 1; ///< Times the rate that a cold server bears.
+  unsigned LogLinesPerSecond_ = 40; ///< Most log lines of one kind.
 };
 
 } // namespace cranberry
--- a/src/observe/event_log.cpp
+++ b/src/observe/event_log.cpp
@@ -59,7 +59,7 @@
     State.WindowStart_ = Now;
     State.Lines_ = 0;
   }
-  if (State.Lines_ >= LinesPerSecond) {
+  if (State.Lines_ >= Rate_) {
     ++State.LeftOut_;
     return;
   }
--- a/src/observe/event_log_base.h
+++ b/src/observe/event_log_base.h
@@ -56,8 +56,8 @@
   const std::string &getPending() const { return Pending_; }
   uint64_t getDropped() const { return Dropped_; }
 
-  /// Most lines of one kind in a second.
-  static constexpr unsigned LinesPerSecond = 40;
+  /// \param Lines Most lines of one kind in a second; 0 for none.
+  void setRate(unsigned Lines) { Rate_ = Lines; }
 
 private:
   struct KindState {
@@ -69,6 +69,7 @@
   int Descriptor_;       ///< See the constructor.
   std::string Vm_;       ///< See the constructor.
   std::string Pending_;  ///< Not taken by the reader yet.
+  unsigned Rate_ = 40;   ///< See setRate().
   uint64_t Dropped_ = 0; ///< Lines dropped since the reader did not take them.
   std::map<std::string_view, KindState> Kinds_; ///< By kind.
 };
--- a/src/request/shift_gate.cpp
+++ b/src/request/shift_gate.cpp
@@ -5,8 +5,10 @@
 
 namespace cranberry {
 
-ShiftGate::ShiftGate(double MaxGrowth)
-    : MaxStep_(MaxGrowth * Window.count() / GrowthSpan.count()) {}
+void ShiftGate::setMaxGrowth(double MaxGrowth) {
+  MaxStep_ = MaxGrowth * static_cast<double>(Window.count()) /
+             static_cast<double>(GrowthSpan.count());
+}
 
 ShiftGate::Region &ShiftGate::getRegion(std::string_view Name) {
   auto Found =
--- a/src/request/shift_gate_base.h
+++ b/src/request/shift_gate_base.h
@@ -18,7 +18,10 @@
 class ShiftGate {
 public:
   /// \param MaxGrowth Largest growth of all shares together in \ref GrowthSpan.
-  explicit ShiftGate(double MaxGrowth);
+  explicit ShiftGate(double MaxGrowth) { setMaxGrowth(MaxGrowth); }
+
+  /// \param MaxGrowth See the constructor.
+  void setMaxGrowth(double MaxGrowth);
 
   /// A request was sent to a server.
   /// \param FarRegion Where it runs; empty if it stays in its region.
@@ -60,7 +63,7 @@
   /// A failure is felt for some seconds, while queues drain and caches warm.
   static constexpr Duration FailureSpan = seconds(4);
 
-  double MaxStep_;              ///< Growth of all shares in a window.
+  double MaxStep_ = 0;          ///< Growth of all shares in a window.
   double Growth_ = 0;           ///< Growth that is left to them now.
   double All_ = 0;              ///< Requests within the window.
   std::deque<Step> Steps_;      ///< Window.
--- a/src/steering/peer_exchange_base.h
+++ b/src/steering/peer_exchange_base.h
@@ -30,6 +30,9 @@
   /// Adds an entry VM that was found elsewhere.
   void addSeed(const std::string &Address) { Membership_.addSeed(Address); }
 
+  /// \param Period Time between heartbeats from the next one on.
+  void setPeriod(Duration Period) { Period_ = Period; }
+
   /// Announces that this VM is leaving.
   void leave();
 
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -22,10 +22,6 @@
 /// After a server could not take a request, another may.
 constexpr Duration FailureRetryAfter = milliseconds(200);
 
-/// Share of the bound on moves between regions that one VM uses; the rest is
-/// for chance, as each sees a part of the region's requests.
-constexpr double ShiftShare = 0.85;
-
 uint64_t hashKey(const std::string &Key) {
   if (Key.empty())
     return 0;
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -32,6 +32,12 @@
   /// give it.
   void setServers(const ServerRegistry &Registry, const MemberList &Members);
 
+  /// Takes over settings that have changed; those of servers come with the
+  /// next setServers().
+  void applySettings() {
+    Gate_.setMaxGrowth(ShiftShare * Settings_.MaxRegionShift_);
+  }
+
   /// Routes a client's request and answers it, now or later.
   void handle(const IngressExchangePtr &Exchange);
 
@@ -56,6 +62,10 @@
   void reportGauges();
 
 private:
+  /// Share of the bound on moves between regions that one VM uses; the rest is
+  /// for chance, as each sees a part of the region's requests.
+  static constexpr double ShiftShare = 0.85;
+
   ServicePool &getPool(const std::string &Service);
   void reject(const IngressExchangePtr &Exchange, const std::string &Id,
               ResultCode Code);
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -7,6 +7,8 @@
 #include "platform/wire_names.h"
 #include "steering/lookup_directory_func.h"
 
+#include <absl/strings/str_join.h>
+
 #include <csignal>
 #include <unistd.h>
 
@@ -22,6 +24,10 @@
 /// Period of what has no event of its own.
 constexpr Duration TickPeriod = milliseconds(200);
 
+/// How often the settings file is looked at. A file that changes without a
+/// signal is taken over within this time.
+constexpr Duration ReloadPeriod = seconds(2);
+
 /// Time between two tries to write this VM's entry.
 constexpr Duration AnnounceRetry = milliseconds(300);
 
@@ -42,8 +48,9 @@
 
 } // namespace
 
-SteeringVm::SteeringVm(Settings Config, uint64_t Incarnation)
-    : Settings_(std::move(Config)), Loop_(1),
+SteeringVm::SteeringVm(Settings Config, const std::string &SettingsPath,
+                       uint64_t Incarnation)
+    : Settings_(std::move(Config)), SettingsFile_(SettingsPath), Loop_(1),
       Log_(STDOUT_FILENO, Settings_.Vm_), Store_(Loop_, Settings_.Platform_),
       View_(Loop_, Store_, Settings_, Log_, makeViewHandlers()),
       Router_(Loop_, Settings_, Log_, Metrics_),
@@ -57,6 +64,7 @@
       MetricsPort_(Loop_,
                    [this](const IngressExchangePtr &E) { answerMetrics(E); }),
       Tick_(Loop_), Announce_(Loop_), Signals_(Loop_, SIGTERM, SIGINT, SIGHUP) {
+  Log_.setRate(Settings_.LogLinesPerSecond_);
   Router_.setOnMisdirected([this](const std::string &Server) {
     View_.noteLeaving(Server);
     refresh();
@@ -183,6 +191,8 @@
   Router_.sweep();
   Metrics_.observeAge("servers", View_.getServerAge(getNow()));
   Log_.flush();
+  if (getNow() >= NextReload_)
+    reloadSettings();
   if (IsStopping_)
     finishStop();
   Tick_.expires_after(TickPeriod);
@@ -192,12 +202,35 @@
   });
 }
 
+void SteeringVm::reloadSettings() {
+  Time Now = getNow();
+  NextReload_ = Now + ReloadPeriod;
+  SettingsChange Change = SettingsFile_.takeChanges(Settings_);
+  for (const Reason &Why : Change.Faults_)
+    Log_.write(Now, "settings-refused",
+               {{"code", static_cast<unsigned>(Why.Code_)},
+                {"field", Why.Field_},
+                {"text", Why.Text_}});
+  if (Change.Taken_.empty() && Change.NeedRestart_.empty())
+    return;
+  Log_.write(Now, "settings",
+             {{"taken", absl::StrJoin(Change.Taken_, " ")},
+              {"needRestart", absl::StrJoin(Change.NeedRestart_, " ")}});
+  Log_.setRate(Settings_.LogLinesPerSecond_);
+  Peers_.setPeriod(Settings_.HeartbeatPeriod_);
+  View_.applySettings(Settings_);
+  Router_.applySettings();
+  Router_.setServers(View_.getRegistry(), Peers_.getMembers());
+}
+
 void SteeringVm::waitForSignal() {
   Signals_.async_wait([this](error_code Cancelled, int Signal) {
     if (Cancelled)
       return;
     Log_.write(getNow(), "signal", {{"number", Signal}});
-    if (Signal != SIGHUP && !IsStopping_)
+    if (Signal == SIGHUP)
+      reloadSettings();
+    else if (!IsStopping_)
       stop();
     waitForSignal();
   });
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -2,7 +2,7 @@
 #ifndef CRANBERRY_STEERING_STEERING_VM_BASE_H
 #define CRANBERRY_STEERING_STEERING_VM_BASE_H
 
-#include "daemon/settings_type.h"
+#include "daemon/settings_reload_base.h"
 #include "net/ingress_server_base.h"
 #include "observe/event_log_base.h"
 #include "observe/metrics_base.h"
@@ -23,8 +23,10 @@
 /// thread; lives as long as the process.
 class SteeringVm {
 public:
+  /// \param SettingsPath Where \p Config was read; looked at for changes.
   /// \param Incarnation Larger than that of any earlier process of this VM.
-  SteeringVm(Settings Config, uint64_t Incarnation);
+  SteeringVm(Settings Config, const std::string &SettingsPath,
+             uint64_t Incarnation);
 
   /// Opens the ports and starts to follow the store.
   /// \param[out] Why Set if the result is false.
@@ -43,6 +45,7 @@
   void takeAnnounced(const platform::StoreReply &Reply);
   void refresh();
   void tick();
+  void reloadSettings();
   void waitForSignal();
   void stop();
   void finishStop();
@@ -52,6 +55,8 @@
   void answerMetrics(const IngressExchangePtr &Exchange);
 
   Settings Settings_;                  ///< Settings.
+  SettingsFile SettingsFile_;          ///< Where they change.
+  Time NextReload_;                    ///< When the file is looked at again.
   boost::asio::io_context Loop_;       ///< Loop.
   EventLog Log_;                       ///< Log.
   Metrics Metrics_;                    ///< Counters.
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -46,6 +46,9 @@
   /// gone silent together with another one that was found out.
   void restart();
 
+  /// \param Pace See FollowPlan.
+  void setPace(Duration Pace) { Plan_.Pace_ = Pace; }
+
   /// \return Whether the kind was listed.
   bool isKnown() const { return IsKnown_; }
 
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -46,14 +46,19 @@
                       makePlan(platform::kind::Config, OperatorWait),
                       makeConfigHandlers(), Log),
       ServerFollower_(Loop, Store,
-                      makePlan(platform::kind::Servers, ServerWait,
-                               scale(Config.ServerDrain_, ServerPaceShare)),
+                      makePlan(platform::kind::Servers, ServerWait),
                       makeServerHandlers(), Log),
       EvacuationFollower_(Loop, Store,
                           makePlan(platform::kind::Evacuations, OperatorWait),
                           makeEvacuationHandlers(), Log),
       VmFollower_(Loop, Store, makePlan(platform::kind::EntryVms, LongWait),
-                  makeVmHandlers(), Log) {}
+                  makeVmHandlers(), Log) {
+  applySettings(Config);
+}
+
+void StoreView::applySettings(const Settings &Config) {
+  ServerFollower_.setPace(scale(Config.ServerDrain_, ServerPaceShare));
+}
 
 void StoreView::start() {
   ConfigFollower_.start();
--- a/src/steering/store_view_base.h
+++ b/src/steering/store_view_base.h
@@ -36,6 +36,9 @@
 
   void start();
 
+  /// Takes over settings that have changed.
+  void applySettings(const Settings &Config);
+
   /// Drops servers whose grace has ended.
   void tick();
 
--- a/standin/routed_fleet.cpp
+++ b/standin/routed_fleet.cpp
@@ -46,12 +46,12 @@
     Vm->FrontLink_ = std::make_unique<Link>(Vm->Http_.getAddress());
     Vm->PeerLink_ = std::make_unique<Link>(Vm->Peer_.getAddress());
     Vm->StoreLink_ = std::make_unique<Link>(Store_.getAddress());
-    writeSettings(*Vm);
+    writeSettings(*Vm, {});
     Vms_.push_back(std::move(Vm));
   }
 }
 
-void RoutedFleet::writeSettings(const FleetVm &Vm) const {
+void RoutedFleet::writeSettings(const FleetVm &Vm, const json &Keys) const {
   json Zones;
   for (const std::string &Zone : Plan_.VmZones_)
     Zones[Zone] = getRegion(Zone);
@@ -70,9 +70,15 @@
                    {"repeatRatio", 0.2},
                    {"repeatSlack", 30},
                    {"coldBurstFactor", 1.5}};
+  if (!Keys.is_null())
+    Settings.update(Keys);
   std::ofstream(Directory_ + "/" + Vm.Name_ + ".json") << Settings.dump(2);
 }
 
+void RoutedFleet::changeSettings(size_t Vm, const json &Keys) {
+  writeSettings(*Vms_[Vm], Keys);
+}
+
 std::string RoutedFleet::getLogPath(size_t Vm) const {
   return Directory_ + "/" + Vms_[Vm]->Name_ + ".log";
 }
--- a/standin/routed_fleet_base.h
+++ b/standin/routed_fleet_base.h
@@ -57,6 +57,9 @@
   /// Starts an entry VM's process.
   void start(size_t Vm);
 
+  /// Writes an entry VM's settings file with some keys changed.
+  void changeSettings(size_t Vm, const nlohmann::json &Keys);
+
   /// Waits until an entry VM says that it is ready.
   bool waitReady(size_t Vm, Duration Limit);
 
@@ -77,7 +80,7 @@
   std::string getLogPath(size_t Vm) const;
 
 private:
-  void writeSettings(const FleetVm &Vm) const;
+  void writeSettings(const FleetVm &Vm, const nlohmann::json &Keys) const;
 
   FleetPlan Plan_;                            ///< Plan.
   std::string Daemon_;                        ///< Program.
--- a/test/process/steering_test.cpp
+++ b/test/process/steering_test.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <set>
+#include <sstream>
 
 using namespace cranberry;
 using namespace cranberry::standin;
@@ -60,6 +61,23 @@
     return Client.call({Method, Target, Id, "7", seconds(3)}, seconds(10));
   }
 
+  /// \return What an entry VM's directory answers, or null.
+  json lookUp(size_t Vm) {
+    RouteClient Directory(Fleet_.vm(Vm).Directory_.getAddress());
+    ClientReply Reply = Directory.call(
+        {"GET", "/api/lookup?name=shop.example&region=north&zone=north-a"},
+        seconds(5));
+    return Reply.Status_ == 200 ? json::parse(Reply.Body_) : json();
+  }
+
+  /// \return Whether an entry VM's log has a line with \p Text.
+  bool isLogged(size_t Vm, const std::string &Text) {
+    std::ifstream File(Fleet_.getLogPath(Vm));
+    std::stringstream All;
+    All << File.rdbuf();
+    return All.str().find(Text) != std::string::npos;
+  }
+
   /// \return How often \p Id was run by any server.
   size_t getRuns(const std::string &Id) {
     size_t Count = 0;
@@ -315,15 +333,7 @@
   for (FleetServer &Each : F.Fleet_.servers())
     Each.Server_->setWork(milliseconds(400));
   F.startAll();
-  RouteClient Directory(F.Fleet_.vm(1).Directory_.getAddress());
-  auto GetNamed = [&] {
-    ClientReply Reply = Directory.call(
-        {"GET", "/api/lookup?name=shop.example&region=north&zone=north-a"},
-        seconds(5));
-    if (Reply.Status_ != 200)
-      return size_t(0);
-    return json::parse(Reply.Body_)["addresses"].size();
-  };
+  auto GetNamed = [&F] { return F.lookUp(1)["addresses"].size(); };
   REQUIRE(F.waitUntil([&] { return GetNamed() == 2; }));
   RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
   REQUIRE(F.call(Client, "/read/x", F.makeId()).Status_ == 200);
@@ -339,15 +349,7 @@
 TEST_CASE("steering: a killed VM leaves the directory, and returns to it") {
   Fixture F({{"north-a", "north-a", "south-a"}, {"one"}});
   F.startAll();
-  RouteClient Directory(F.Fleet_.vm(1).Directory_.getAddress());
-  auto GetNamed = [&] {
-    ClientReply Reply = Directory.call(
-        {"GET", "/api/lookup?name=shop.example&region=north&zone=north-a"},
-        seconds(5));
-    if (Reply.Status_ != 200)
-      return size_t(0);
-    return json::parse(Reply.Body_)["addresses"].size();
-  };
+  auto GetNamed = [&F] { return F.lookUp(1)["addresses"].size(); };
   REQUIRE(F.waitUntil([&] { return GetNamed() == 2; }));
   F.Fleet_.vm(0).Process_->signal(SIGKILL);
   Time Killed = getNow();
@@ -397,6 +399,58 @@
   CHECK(Other.getRuns().empty());
 }
 
+TEST_CASE("steering: settings that change are taken over, told or not") {
+  Fixture F({{"north-a"}, {"one"}});
+  F.startAll();
+  REQUIRE(F.lookUp(0)["ttl"] == "5000ms");
+  F.Fleet_.changeSettings(0, {{"lookupTtlMs", 1500}});
+  CHECK(F.waitUntil([&F] { return F.lookUp(0)["ttl"] == "1500ms"; }));
+  F.Fleet_.changeSettings(0, {{"lookupTtlMs", 700}, {"maxBodyKb", 5}});
+  F.Fleet_.vm(0).Process_->signal(SIGHUP);
+  CHECK(F.waitUntil([&F] { return F.lookUp(0)["ttl"] == "700ms"; }));
+  CHECK(F.waitUntil(
+      [&F] { return F.isLogged(0, R"("needRestart":"maxBodyKb")"); }));
+  // A file at fault leaves everything as it was.
+  F.Fleet_.changeSettings(0, {{"lookupTtlMs", "soon"}});
+  F.Fleet_.vm(0).Process_->signal(SIGHUP);
+  CHECK(F.waitUntil(
+      [&F] { return F.isLogged(0, R"("event":"settings-refused")"); }));
+  CHECK(F.lookUp(0)["ttl"] == "700ms");
+  RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
+  CHECK(F.call(Client, "/read/x", F.makeId()).Status_ == 200);
+}
+
+TEST_CASE("steering: the tool tells a request's end from the log") {
+  Fixture F({{"north-a"}, {"one"}});
+  F.startAll();
+  RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
+  F.setFaults(AnswerFault::Lose);
+  std::string Lost = F.makeId();
+  CHECK(F.call(Client, "/pay/x", Lost, "POST").Status_ == 502);
+  F.setFaults(AnswerFault::None);
+  std::string Served = F.makeId();
+  CHECK(F.call(Client, "/read/x", Served).Status_ == 200);
+  std::string Out = F.Directory_.Path_ + "/explanation";
+  auto Explain = [&](const std::string &Id) {
+    ChildProcess Tool({PROGRAM_DIR "/cranberryctl", "explain", Id, "--file",
+                       F.Fleet_.getLogPath(0)},
+                      Out, Out);
+    int Code = Tool.wait();
+    std::ifstream File(Out);
+    std::stringstream Text;
+    Text << File.rdbuf();
+    return std::make_pair(Code, Text.str());
+  };
+  REQUIRE(F.waitUntil([&] { return F.isLogged(0, Served); }));
+  auto [LostCode, LostText] = Explain(Lost);
+  CHECK(LostCode == 0);
+  CHECK(LostText.find("cause: sent, but no answer came") != std::string::npos);
+  CHECK(LostText.find("ended broken") != std::string::npos);
+  CHECK(Explain(Served).second.find("cause: answered in time") !=
+        std::string::npos);
+  CHECK(Explain("unheard-of").first == 1);
+}
+
 TEST_CASE("steering: settings at fault are named with their code") {
   TestDirectory Directory;
   const std::pair<json, const char *> Rows[] = {
--- a/test/unit/steering_decision_test.cpp
+++ b/test/unit/steering_decision_test.cpp
@@ -278,7 +278,7 @@
   Log.write(Now, "start", {});
   size_t Lines =
       std::count(Log.getPending().begin(), Log.getPending().end(), '\n');
-  CHECK(Lines == EventLog::LinesPerSecond + 1);
+  CHECK(Lines == 40 + 1);
   CHECK(Log.getPending().find("\"request\":\"a\\\"b\\u000a\"") !=
         std::string::npos);
   Log.write(Now + seconds(1), "refuse", {});
--- a/test/unit/surface_test.cpp
+++ b/test/unit/surface_test.cpp
@@ -2,6 +2,7 @@
 #include "core/result_func.h"
 #include "core/table/result_table.h"
 #include "daemon/settings_func.h"
+#include "daemon/settings_reload_base.h"
 #include "daemon/wire_func.h"
 
 #include <catch2/catch.hpp>
@@ -73,15 +74,56 @@
   };
   for (const Case &C : Cases) {
     CAPTURE(C.Text_);
-    Reason Why;
-    CHECK(parseSettings(C.Text_, Why).has_value() ==
+    std::vector<Reason> Faults;
+    CHECK(parseSettings(C.Text_, Faults).has_value() ==
           (C.Code_ == ResultCode::Ok));
+    Reason Why = Faults.empty() ? Reason() : Faults.front();
     CHECK(Why.Code_ == C.Code_);
     CHECK(Why.Field_ == C.Field_);
   }
-  Reason Why;
-  CHECK_FALSE(readSettings("/nowhere.json", Why));
-  CHECK(Why.Code_ == ResultCode::SettingsFileMissing);
+  std::vector<Reason> Faults;
+  CHECK_FALSE(readSettings("/nowhere.json", Faults));
+  REQUIRE(Faults.size() == 1);
+  CHECK(Faults.front().Code_ == ResultCode::SettingsFileMissing);
+}
+
+TEST_CASE("all faults of the settings are named at once") {
+  std::vector<Reason> Faults;
+  CHECK_FALSE(parseSettings(R"({"vm":"","zone":"z","colour":1})", Faults));
+  std::vector<std::string> Fields;
+  for (const Reason &Why : Faults)
+    Fields.push_back(Why.Field_);
+  CHECK(Fields == std::vector<std::string>{"colour", "vm", "region", "http",
+                                           "peer", "platform"});
+}
+
+TEST_CASE("settings that may change at run time are taken over, others told") {
+  std::string Path = "settings_reload_test.json";
+  auto Write = [&Path](const std::string &Text) {
+    std::ofstream(Path) << Text;
+  };
+  std::string Good = GoodSettings;
+  Write("{" + Good + "}");
+  std::vector<Reason> Faults;
+  std::optional<Settings> Current = readSettings(Path, Faults);
+  REQUIRE(Current);
+  SettingsFile File(Path);
+  CHECK(File.takeChanges(*Current).Taken_.empty());
+  Write("{" + Good + R"(,"lookupTtlMs":700,"maxConnections":9})");
+  SettingsChange Change = File.takeChanges(*Current);
+  CHECK(Change.Taken_ == std::vector<std::string>{"lookupTtlMs"});
+  CHECK(Change.NeedRestart_ == std::vector<std::string>{"maxConnections"});
+  CHECK(Current->LookupTtl_ == milliseconds(700));
+  CHECK(Current->MaxConnections_ != 9);
+  // A file at fault changes nothing and is told once.
+  Write("{" + Good + R"(,"lookupTtlMs":"soon"})");
+  Change = File.takeChanges(*Current);
+  REQUIRE(Change.Faults_.size() == 1);
+  CHECK(Change.Faults_.front().Field_ == "lookupTtlMs");
+  CHECK(File.takeChanges(*Current).Faults_.empty());
+  CHECK(Current->LookupTtl_ == milliseconds(700));
+  std::remove(Path.c_str());
+  CHECK(File.takeChanges(*Current).Faults_.empty());
 }
 
 TEST_CASE("a reply of a peer that is crossed or cut is not taken for whole") {
