Feature: [Steering] One VM of a zone reads the store for the others

Now one VM of a zone, chosen by all in the same way, reads it; the others watch its peer port, which answers as the store does. It passes on only what it has read itself within the pace of its watch, tells the state that changes led to, and leaves renewed entries out. A VM that can't read the store hears from any other one, the nearest first. One that hangs or is behind is left for the store at once.

--- a/src/platform/decode.cpp
+++ b/src/platform/decode.cpp
@@ -2,6 +2,7 @@
 #include "platform/decode_func.h"
 
 #include "core/duration_func.h"
+#include "net/http_target_func.h"
 #include "platform/wire_names.h"
 
 #include <absl/strings/ascii.h>
@@ -211,6 +212,17 @@
   return Result;
 }
 
+json encodeObject(const StoreObject &Object) {
+  return {
+      {"metadata", {{"name", Object.Name_}, {"revision", Object.Revision_}}},
+      {"specification", Object.Body_}};
+}
+
+/// What others wrote may hold bytes that are no text.
+std::string dump(const json &Body) {
+  return Body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 } // namespace
 
 ClientRequestInfo decodeClientRequest(const RequestMessage &Request) {
@@ -385,4 +397,65 @@
   return Result;
 }
 
+std::optional<StoreQuestion> decodeStoreQuestion(const std::string &Target) {
+  size_t Mark = Target.find('?');
+  std::string Path = Target.substr(0, Mark);
+  if (!Path.starts_with(path::Objects))
+    return std::nullopt;
+  StoreQuestion Result;
+  Result.Kind_ = Path.substr(std::string_view(path::Objects).size());
+  if (Mark == std::string::npos)
+    return Result;
+  std::map<std::string, std::string> Query =
+      parseQuery(std::string_view(Target).substr(Mark + 1));
+  auto From = Query.find("watch");
+  if (From == Query.end())
+    return Result;
+  Revision Known = 0;
+  int64_t Wait = 0;
+  if (!absl::SimpleAtoi(From->second, &Known) ||
+      !absl::SimpleAtoi(Query["waitMs"], &Wait) || Wait < 0)
+    return std::nullopt;
+  Result.WatchFrom_ = Known;
+  Result.Wait_ = milliseconds(Wait);
+  return Result;
+}
+
+std::string encodePage(const StorePage &Page) {
+  json Items = json::array();
+  for (const StoreObject &Object : Page.Objects_)
+    Items.push_back(encodeObject(Object));
+  return dump({{"items", std::move(Items)},
+               {"hasMore", Page.HasMore_},
+               {"storeRevision", Page.Revision_}});
+}
+
+std::string encodeChanges(const StoreChanges &Changes) {
+  json Events = json::array();
+  for (const StoreChange &Change : Changes.Changes_)
+    Events.push_back({{"removed", Change.IsRemoved_},
+                      {"object", encodeObject(Change.Object_)}});
+  return dump(
+      {{"events", std::move(Events)}, {"storeRevision", Changes.Revision_}});
+}
+
+bool isRenewal(const json &Before, const json &After) {
+  // The wire's "sequence" counts renewals. While a server is cold, each tells
+  // anew for how long.
+  if (!Before.is_object() || !After.is_object() ||
+      Before.size() != After.size())
+    return Before == After;
+  for (const auto &[Name, Value] : After.items()) {
+    auto Known = Before.find(Name);
+    bool IsCount = Name == "sequence";
+    if (Known == Before.end() || (!IsCount && *Known != Value))
+      return false;
+  }
+  std::optional<Duration> Cold =
+      After.contains("coldRemaining") && After["coldRemaining"].is_string()
+          ? parseDuration(After["coldRemaining"])
+          : Duration(0);
+  return Cold == Duration(0);
+}
+
 } // namespace cranberry::platform
--- a/src/platform/decode_func.h
+++ b/src/platform/decode_func.h
@@ -67,6 +67,16 @@
 /// \return Objects of a list, or nothing if \p Body is not one.
 std::optional<StorePage> decodePage(const std::string &Body, Reason &Why);
 
+/// \return What a call for \p Target asks, or nothing if it is neither a list
+/// nor a watch. Entry VMs ask each other as they ask the store.
+std::optional<StoreQuestion> decodeStoreQuestion(const std::string &Target);
+
+std::string encodePage(const StorePage &Page);
+std::string encodeChanges(const StoreChanges &Changes);
+
+/// \return Whether a server's entry was renewed and tells nothing new.
+bool isRenewal(const nlohmann::json &Before, const nlohmann::json &After);
+
 /// \return Changes of a watch, or nothing if \p Body is not one.
 std::optional<StoreChanges> decodeChanges(const std::string &Body, Reason &Why);
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -13,17 +13,6 @@
 
 namespace {
 
-/// The store answers in milliseconds, and on its slow days in some hundreds;
-/// beyond this an answer is taken for lost.
-constexpr Duration CallTimeout = milliseconds(1000);
-
-/// Beyond the wait that a watch asks for.
-constexpr Duration WatchSlack = milliseconds(1500);
-
-/// Longest wait for a connection; the store is at most 110 ms away. A longer
-/// one would delay the return after a partition.
-constexpr Duration ConnectTimeout = milliseconds(400);
-
 /// The store's connections are kept for as long as it keeps them.
 constexpr Duration MaxIdle = seconds(10);
 
@@ -60,15 +49,16 @@
 
 } // namespace
 
-StoreClient::StoreClient(boost::asio::io_context &Loop, std::string Address)
-    : Address_(std::move(Address)), Client_(Loop) {}
+StoreClient::StoreClient(boost::asio::io_context &Loop, std::string Address,
+                         const StoreCallLimits &Limits)
+    : Address_(std::move(Address)), Limits_(Limits), Client_(Loop) {}
 
 void StoreClient::list(const std::string &Kind, const std::string &After,
                        StoreReplyHandler End) {
   std::string Target = absl::StrCat(path::Objects, Kind);
   if (!After.empty())
     absl::StrAppend(&Target, "?after=", After);
-  call("GET", Target, "", CallTimeout, std::move(End));
+  call("GET", Target, "", Limits_.Call_, std::move(End));
 }
 
 void StoreClient::watch(const std::string &Kind, Revision After, Duration Wait,
@@ -76,13 +66,13 @@
   call("GET",
        absl::StrCat(path::Objects, Kind, "?watch=", After,
                     "&waitMs=", toMilliseconds(Wait)),
-       "", Wait + WatchSlack, std::move(End));
+       "", Wait + Limits_.WatchSlack_, std::move(End));
 }
 
 void StoreClient::create(const std::string &Kind, const std::string &Name,
                          const json &Body, StoreReplyHandler End) {
   call("POST", absl::StrCat(path::Objects, Kind), makeObject(Name, Body).dump(),
-       CallTimeout, std::move(End));
+       Limits_.Call_, std::move(End));
 }
 
 void StoreClient::replace(const std::string &Kind, const std::string &Name,
@@ -91,13 +81,13 @@
   json Object = makeObject(Name, Body);
   Object["metadata"]["revision"] = Expected;
   call("PUT", absl::StrCat(path::Objects, Kind, "/", Name), Object.dump(),
-       CallTimeout, std::move(End));
+       Limits_.Call_, std::move(End));
 }
 
 void StoreClient::remove(const std::string &Kind, const std::string &Name,
                          StoreReplyHandler End) {
-  call("DELETE", absl::StrCat(path::Objects, Kind, "/", Name), "", CallTimeout,
-       std::move(End));
+  call("DELETE", absl::StrCat(path::Objects, Kind, "/", Name), "",
+       Limits_.Call_, std::move(End));
 }
 
 void StoreClient::call(const char *Method, const std::string &Target,
@@ -111,7 +101,7 @@
     Call.Headers_.emplace_back("Content-Type", "application/json");
   Call.Body_ = std::move(Body);
   Call.Timeout_ = Timeout;
-  Call.ConnectTimeout_ = ConnectTimeout;
+  Call.ConnectTimeout_ = Limits_.Connect_;
   Call.MaxIdle_ = MaxIdle;
   Client_.startCall(std::move(Call), [End = std::move(End)](HttpResult Result) {
     if (Result.Code_ != ResultCode::Ok) {
--- a/src/platform/store_client_base.h
+++ b/src/platform/store_client_base.h
@@ -18,13 +18,33 @@
   std::string Text_;                       ///< Reason for people, if not Ok.
 };
 
+/// Time limits of calls.
+struct StoreCallLimits {
+  Duration Call_;       ///< Of a call that does not wait.
+  Duration WatchSlack_; ///< Of a watch, beyond the wait that it asks for.
+  Duration Connect_;    ///< Of a new connection.
+};
+
+/// The store answers in milliseconds, and on its slow days in some hundreds;
+/// it is at most 110 ms away.
+inline constexpr StoreCallLimits StoreLimits{
+    milliseconds(1000), milliseconds(1500), milliseconds(400)};
+
+/// An entry VM answers in milliseconds. One that does not is left at once, so
+/// that a change that it does not pass on is still heard of in time.
+inline constexpr StoreCallLimits RelayLimits{
+    milliseconds(350), milliseconds(350), milliseconds(200)};
+
 using StoreReplyHandler = std::function<void(StoreReply)>;
 
 /// Makes calls to one store. Each is one request; nothing is repeated here.
 class StoreClient {
 public:
-  /// \param Address "address:port" of the store.
-  StoreClient(boost::asio::io_context &Loop, std::string Address);
+  /// \param Address "address:port" of the store, or of an entry VM that passes
+  /// on what the store told it.
+  /// \param Limits Time limits.
+  StoreClient(boost::asio::io_context &Loop, std::string Address,
+              const StoreCallLimits &Limits);
 
   /// Lists a kind's objects after a name.
   void list(const std::string &Kind, const std::string &After,
@@ -55,9 +75,10 @@
   void call(const char *Method, const std::string &Target, std::string Body,
             Duration Timeout, StoreReplyHandler End);
 
-  std::string Address_; ///< Store.
-  HttpClient Client_;   ///< Connections to it.
-  uint64_t Calls_ = 0;  ///< See getCalls().
+  std::string Address_;    ///< Store.
+  StoreCallLimits Limits_; ///< Time limits.
+  HttpClient Client_;      ///< Connections to it.
+  uint64_t Calls_ = 0;     ///< See getCalls().
 };
 
 } // namespace cranberry::platform
--- a/src/platform/store_type.h
+++ b/src/platform/store_type.h
@@ -2,10 +2,12 @@
 #ifndef CRANBERRY_PLATFORM_STORE_TYPE_H
 #define CRANBERRY_PLATFORM_STORE_TYPE_H
 
+#include "core/time_type.h"
 #include "version/object_type.h"
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,13 @@
   Revision Revision_ = 0;            ///< Revision to go on from.
 };
 
+/// What a call to the store asks of a kind.
+struct StoreQuestion {
+  std::string Kind_;                  ///< Kind.
+  std::optional<Revision> WatchFrom_; ///< Revision to watch from; else a list.
+  Duration Wait_{0};                  ///< Longest wait of a watch.
+};
+
 /// How a call to the store ended.
 enum class StoreStatus : uint8_t {
   Ok,          ///< Done.
--- a/src/steering/peer_exchange.cpp
+++ b/src/steering/peer_exchange.cpp
@@ -84,7 +84,10 @@
   constexpr unsigned NotFound = 404;
   RequestMessage &Message = Exchange->getMessage();
   if (Message.target() != HeartbeatPath) {
-    Exchange->answer(makeResponse(NotFound, ""));
+    if (OnQuestion_)
+      OnQuestion_(Exchange);
+    else
+      Exchange->answer(makeResponse(NotFound, ""));
     return;
   }
   std::optional<HeartbeatBody> Body = decodeHeartbeat(Message.body());
--- a/src/steering/peer_exchange_base.h
+++ b/src/steering/peer_exchange_base.h
@@ -27,6 +27,11 @@
   /// \param[out] Why PortUnavailable if the result is false.
   bool open(const std::string &Address, Reason &Why);
 
+  /// \param Handler Gets what other entry VMs ask beside heartbeats.
+  void setOnQuestion(IngressHandler Handler) {
+    OnQuestion_ = std::move(Handler);
+  }
+
   /// Adds an entry VM that was found elsewhere.
   void addSeed(const std::string &Address) { Membership_.addSeed(Address); }
 
@@ -50,6 +55,7 @@
   Duration Period_;                 ///< Between heartbeats.
   EventLog &Log_;                   ///< Log.
   std::function<void()> OnChange_;  ///< See the constructor.
+  IngressHandler OnQuestion_;       ///< See setOnQuestion().
   Membership Membership_;           ///< Decides who is alive.
   uint64_t ViewVersion_ = 0;        ///< Last one that was told.
   IngressServer Server_;            ///< Port for other entry VMs.
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -5,6 +5,7 @@
 #include "net/http_message_func.h"
 #include "platform/decode_func.h"
 #include "platform/wire_names.h"
+#include "process/reader_choice_func.h"
 #include "steering/lookup_directory_func.h"
 
 #include <absl/strings/str_join.h>
@@ -28,6 +29,10 @@
 /// signal is taken over within this time.
 constexpr Duration ReloadPeriod = seconds(2);
 
+/// A VM that could not read the store hears from another one for this long
+/// before it tries again; each try takes up to a second without news.
+constexpr Duration RescueSpan = seconds(10);
+
 /// Time between two tries to write this VM's entry.
 constexpr Duration AnnounceRetry = milliseconds(300);
 
@@ -51,7 +56,8 @@
 SteeringVm::SteeringVm(Settings Config, const std::string &SettingsPath,
                        uint64_t Incarnation)
     : Settings_(std::move(Config)), SettingsFile_(SettingsPath), Loop_(1),
-      Log_(STDOUT_FILENO, Settings_.Vm_), Store_(Loop_, Settings_.Platform_),
+      Log_(STDOUT_FILENO, Settings_.Vm_),
+      Store_(Loop_, Settings_.Platform_, platform::StoreLimits),
       View_(Loop_, Store_, Settings_, Log_, makeViewHandlers()),
       Router_(Loop_, Settings_, Log_, Metrics_),
       Peers_(Loop_, makeSelf(Incarnation), Settings_.HeartbeatPeriod_, Log_,
@@ -65,6 +71,8 @@
                    [this](const IngressExchangePtr &E) { answerMetrics(E); }),
       Tick_(Loop_), Announce_(Loop_), Signals_(Loop_, SIGTERM, SIGINT, SIGHUP) {
   Log_.setRate(Settings_.LogLinesPerSecond_);
+  Peers_.setOnQuestion(
+      [this](const IngressExchangePtr &E) { View_.handleRelay(E); });
   Router_.setOnMisdirected([this](const std::string &Server) {
     View_.noteLeaving(Server);
     refresh();
@@ -187,6 +195,7 @@
 
 void SteeringVm::tick() {
   View_.tick();
+  chooseReader();
   refresh();
   Router_.sweep();
   Metrics_.observeAge("servers", View_.getServerAge(getNow()));
@@ -202,6 +211,16 @@
   });
 }
 
+void SteeringVm::chooseReader() {
+  Time Now = getNow();
+  if (View_.isStoreLost())
+    RescueUntil_ = Now + RescueSpan;
+  const MemberList Vms = Peers_.getMembers();
+  const Member *Reader =
+      cranberry::chooseReader(Vms, Peers_.getSelf(), Now < RescueUntil_);
+  View_.setReader(Reader ? Reader->PeerAddress_ : "");
+}
+
 void SteeringVm::reloadSettings() {
   Time Now = getNow();
   NextReload_ = Now + ReloadPeriod;
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -46,6 +46,7 @@
   void refresh();
   void tick();
   void reloadSettings();
+  void chooseReader();
   void waitForSignal();
   void stop();
   void finishStop();
@@ -74,6 +75,7 @@
   uint64_t RegistryVersion_ = 0;       ///< Last one that the router got.
   size_t MemberCount_ = 0;             ///< Entry VMs at the last change.
   bool MembersChanged_ = true;         ///< Since the router got them.
+  Time RescueUntil_;                   ///< Hears from any VM until then.
   bool IsStopping_ = false;            ///< A planned stop has begun.
   Time StopBy_;                        ///< End of the planned stop.
 };
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -21,6 +21,13 @@
 constexpr Duration LongestBackoffLost = milliseconds(250);
 constexpr Duration LongestBackoffRefused = milliseconds(800);
 
+/// Wait of a watch at another entry VM. With the call's slack it is 0.75 s
+/// until a VM that hangs is left, of the 2 s in which a change must be known.
+constexpr Duration RelayWait = milliseconds(400);
+
+/// Least time between two watches there; news come within it.
+constexpr Duration RelayPace = milliseconds(100);
+
 } // namespace
 
 StoreFollower::StoreFollower(boost::asio::io_context &Loop,
@@ -52,9 +59,24 @@
   list();
 }
 
+void StoreFollower::setRelay(platform::StoreClient *Relay) {
+  bool WasRelayed = Relay_ != nullptr;
+  if (Relay_ == Relay)
+    return;
+  Relay_ = Relay;
+  // What is out at the store may end; at a relay it has to be given up.
+  if (WasRelayed)
+    restart();
+}
+
+platform::StoreClient &StoreFollower::pickSource() {
+  IsAtRelay_ = Relay_ != nullptr;
+  return Relay_ ? *Relay_ : Store_;
+}
+
 void StoreFollower::list() {
   std::string After = Listed_.empty() ? "" : Listed_.back().Name_;
-  Store_.list(Plan_.Kind_, After, guard(&StoreFollower::takePage));
+  pickSource().list(Plan_.Kind_, After, guard(&StoreFollower::takePage));
 }
 
 void StoreFollower::takePage(const StoreReply &Reply) {
@@ -71,6 +93,11 @@
     retry(StoreStatus::Malformed, Why.Field_ + " " + Why.Text_);
     return;
   }
+  if (IsAtRelay_ && Page->Revision_ < Revision_) {
+    Listed_.clear();
+    retry(StoreStatus::Malformed, "older than what is known");
+    return;
+  }
   bool IsFirst = Listed_.empty();
   // Changes between two pages come with the watch from the first.
   Revision FirstRevision = IsFirst ? Page->Revision_ : Revision_;
@@ -84,18 +111,21 @@
   IsKnown_ = true;
   std::vector<platform::StoreObject> Objects;
   Objects.swap(Listed_);
+  Cache_.replaceAll(Objects, Revision_);
   Log_.write(getNow(), "store-list",
              {{"kind", Plan_.Kind_},
               {"objects", static_cast<uint64_t>(Objects.size())},
               {"revision", Revision_}});
   Handlers_.OnList_(Objects);
+  if (Handlers_.OnHeard_)
+    Handlers_.OnHeard_();
   watch();
 }
 
 void StoreFollower::watch() {
   LastWatch_ = getNow();
-  Store_.watch(Plan_.Kind_, Revision_, Plan_.Wait_,
-               guard(&StoreFollower::takeChanges));
+  pickSource().watch(Plan_.Kind_, Revision_, Relay_ ? RelayWait : Plan_.Wait_,
+                     guard(&StoreFollower::takeChanges));
 }
 
 void StoreFollower::takeChanges(const StoreReply &Reply) {
@@ -119,13 +149,22 @@
   }
   noteSuccess();
   Revision_ = std::max(Revision_, Changes->Revision_);
+  Cache_.apply(*Changes);
   for (const StoreChange &Change : Changes->Changes_)
     Handlers_.OnChange_(Change);
+  if (Handlers_.OnHeard_)
+    Handlers_.OnHeard_();
+  // Watches at other entry VMs cost nothing, and wait there for news.
+  Duration Pace = Relay_ ? RelayPace : Plan_.Pace_;
   Duration Since = getNow() - LastWatch_;
-  after(std::max(Duration(0), Plan_.Pace_ - Since), &StoreFollower::watch);
+  after(std::max(Duration(0), Pace - Since), &StoreFollower::watch);
 }
 
 void StoreFollower::retry(StoreStatus Status, const std::string &Text) {
+  if (IsAtRelay_) {
+    Handlers_.OnRelayLost_(Text);
+    return;
+  }
   if (!IsLost_) {
     IsLost_ = true;
     Log_.write(
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -5,6 +5,7 @@
 #include "core/time_type.h"
 #include "observe/event_log_base.h"
 #include "platform/store_client_base.h"
+#include "steering/store_cache_base.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -32,6 +33,10 @@
   std::function<void()> OnLost_;
   /// A call succeeded, the first after one that failed.
   std::function<void()> OnRegained_;
+  /// A call succeeded.
+  std::function<void()> OnHeard_;
+  /// The other entry VM does not pass the kind on, see setRelay().
+  std::function<void(const std::string &)> OnRelayLost_;
 };
 
 /// Lists a kind and then watches it. After a failure it lists anew.
@@ -49,6 +54,16 @@
   /// \param Pace See FollowPlan.
   void setPace(Duration Pace) { Plan_.Pace_ = Pace; }
 
+  /// Hears from another entry VM from the next call on, or from the store if
+  /// \p Relay is null. After a failure of the other VM the owner decides.
+  void setRelay(platform::StoreClient *Relay);
+
+  /// \return What was heard so far.
+  const StoreCache &getCache() const { return Cache_; }
+
+  /// \return Whether it can't be heard of now.
+  bool isLost() const { return IsLost_; }
+
   /// \return Whether the kind was listed.
   bool isKnown() const { return IsKnown_; }
 
@@ -62,6 +77,7 @@
   void list();
   void takePage(const platform::StoreReply &Reply);
   void watch();
+  platform::StoreClient &pickSource();
   void takeChanges(const platform::StoreReply &Reply);
   void retry(platform::StoreStatus Status, const std::string &Text);
   void noteSuccess();
@@ -70,6 +86,9 @@
   void after(Duration Wait, void (StoreFollower::*Next)());
 
   platform::StoreClient &Store_;              ///< Store.
+  platform::StoreClient *Relay_ = nullptr;    ///< See setRelay().
+  bool IsAtRelay_ = false;                    ///< The last call went there.
+  StoreCache Cache_;                          ///< See getCache().
   FollowPlan Plan_;                           ///< Plan.
   FollowHandlers Handlers_;                   ///< Owner's.
   EventLog &Log_;                             ///< Log.
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -6,6 +6,8 @@
 #include "platform/decode_func.h"
 #include "platform/wire_names.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 
 using cranberry::platform::StoreChange;
@@ -36,12 +38,20 @@
   return {Kind, Pace, Wait};
 }
 
+/// An entry VM that passes on what it reads does so while it is as new as the
+/// pace of its watch allows, and a little more for the way.
+constexpr Duration FreshSlack = milliseconds(350);
+
+/// After an entry VM failed to pass on, the store is read for this long; by
+/// then the VM is suspected, or it has recovered.
+constexpr Duration ReaderRest = seconds(3);
+
 } // namespace
 
 StoreView::StoreView(boost::asio::io_context &Loop,
                      platform::StoreClient &Store, const Settings &Config,
                      EventLog &Log, StoreViewHandlers Handlers)
-    : Log_(Log), Handlers_(std::move(Handlers)),
+    : Loop_(Loop), Log_(Log), Handlers_(std::move(Handlers)),
       ConfigFollower_(Loop, Store,
                       makePlan(platform::kind::Config, OperatorWait),
                       makeConfigHandlers(), Log),
@@ -52,12 +62,60 @@
                           makePlan(platform::kind::Evacuations, OperatorWait),
                           makeEvacuationHandlers(), Log),
       VmFollower_(Loop, Store, makePlan(platform::kind::EntryVms, LongWait),
-                  makeVmHandlers(), Log) {
+                  makeVmHandlers(), Log),
+      Relay_(Loop, [this] { return isFresh(); }) {
+  Relay_.addKind(platform::kind::Config, ConfigFollower_);
+  Relay_.addKind(platform::kind::Servers, ServerFollower_);
+  Relay_.addKind(platform::kind::Evacuations, EvacuationFollower_);
   applySettings(Config);
 }
 
 void StoreView::applySettings(const Settings &Config) {
   ServerFollower_.setPace(scale(Config.ServerDrain_, ServerPaceShare));
+  FreshAge_ = scale(Config.ServerDrain_, ServerPaceShare) + FreshSlack;
+}
+
+void StoreView::addRelayHandlers(const std::string &Kind,
+                                 FollowHandlers &Handlers) {
+  Handlers.OnHeard_ = [this, Kind] { Relay_.wake(Kind); };
+  Handlers.OnRelayLost_ = [this](const std::string &Text) { loseRelay(Text); };
+}
+
+bool StoreView::isFresh() const {
+  return Reader_.empty() && isComplete() && EvacuationFollower_.isKnown() &&
+         !ConfigFollower_.isLost() && !ServerFollower_.isLost() &&
+         !EvacuationFollower_.isLost() &&
+         ServerFollower_.getAge(getNow()) <= FreshAge_;
+}
+
+void StoreView::useRelay(platform::StoreClient *Relay) {
+  ConfigFollower_.setRelay(Relay);
+  ServerFollower_.setRelay(Relay);
+  EvacuationFollower_.setRelay(Relay);
+}
+
+void StoreView::setReader(const std::string &Peer) {
+  if (Peer == Reader_ || (!Peer.empty() && getNow() < ReaderFrom_))
+    return;
+  Log_.write(getNow(), "reader", {{"peer", Peer}, {"before", Reader_}});
+  Reader_ = Peer;
+  // Followers give up their calls before the client goes.
+  std::unique_ptr<platform::StoreClient> Next;
+  if (!Peer.empty())
+    Next = std::make_unique<platform::StoreClient>(Loop_, Peer,
+                                                   platform::RelayLimits);
+  useRelay(Next.get());
+  ReaderClient_ = std::move(Next);
+}
+
+void StoreView::loseRelay(const std::string &Text) {
+  Log_.write(getNow(), "reader-lost", {{"peer", Reader_}, {"text", Text}});
+  ReaderFrom_ = getNow() + ReaderRest;
+  Reader_.clear();
+  useRelay(nullptr);
+  // This runs within one of its calls.
+  boost::asio::post(Loop_, [Gone = std::shared_ptr<platform::StoreClient>(
+                                std::move(ReaderClient_))] {});
 }
 
 void StoreView::start() {
@@ -76,6 +134,7 @@
 
 FollowHandlers StoreView::makeConfigHandlers() {
   FollowHandlers Result;
+  addRelayHandlers(platform::kind::Config, Result);
   Result.OnList_ = [this](const std::vector<StoreObject> &Objects) {
     for (const StoreObject &Object : Objects)
       takeConfig(Object);
@@ -89,6 +148,7 @@
 
 FollowHandlers StoreView::makeServerHandlers() {
   FollowHandlers Result;
+  addRelayHandlers(platform::kind::Servers, Result);
   Result.OnList_ = [this](const std::vector<StoreObject> &Objects) {
     takeServers(Objects);
   };
@@ -106,6 +166,7 @@
 
 FollowHandlers StoreView::makeEvacuationHandlers() {
   FollowHandlers Result;
+  addRelayHandlers(platform::kind::Evacuations, Result);
   Result.OnList_ = [this](const std::vector<StoreObject> &Objects) {
     Evacuated_.clear();
     for (const StoreObject &Object : Objects)
--- a/src/steering/store_view_base.h
+++ b/src/steering/store_view_base.h
@@ -6,6 +6,7 @@
 #include "observe/event_log_base.h"
 #include "platform/store_client_base.h"
 #include "steering/store_follower_base.h"
+#include "steering/store_relay_base.h"
 #include "version/routing_type.h"
 #include "version/server_registry_base.h"
 
@@ -42,6 +43,19 @@
   /// Drops servers whose grace has ended.
   void tick();
 
+  /// Hears from another entry VM in place of the store, unless that failed a
+  /// moment ago.
+  /// \param Peer Its peer address; empty for the store.
+  void setReader(const std::string &Peer);
+
+  /// \return Whether the store itself can't be read.
+  bool isStoreLost() const { return ServerFollower_.isLost(); }
+
+  /// Answers another entry VM that hears from this one.
+  void handleRelay(const IngressExchangePtr &Exchange) {
+    Relay_.handle(Exchange);
+  }
+
   /// A server proved to be another one, or to be leaving.
   void noteLeaving(const std::string &Server) { Registry_.noteLeaving(Server); }
 
@@ -67,7 +81,12 @@
   void takeEvacuations();
   void takeVm(const platform::StoreObject &Object);
   Duration getColdDuration() const;
+  void addRelayHandlers(const std::string &Kind, FollowHandlers &Handlers);
+  void useRelay(platform::StoreClient *Relay);
+  void loseRelay(const std::string &Text);
+  bool isFresh() const;
 
+  boost::asio::io_context &Loop_;    ///< Loop.
   EventLog &Log_;                    ///< Log.
   StoreViewHandlers Handlers_;       ///< Owner's.
   ServerRegistry Registry_;          ///< Servers.
@@ -77,6 +96,11 @@
   StoreFollower ServerFollower_;     ///< Follows the servers.
   StoreFollower EvacuationFollower_; ///< Follows evacuations.
   StoreFollower VmFollower_;         ///< Follows the entry VMs.
+  StoreRelay Relay_;                 ///< Passes on what was read here.
+  std::string Reader_;               ///< Peer that is heard from; or empty.
+  std::unique_ptr<platform::StoreClient> ReaderClient_; ///< Calls to it.
+  Time ReaderFrom_;      ///< When one may be heard from again.
+  Duration FreshAge_{0}; ///< Age up to which knowledge is passed on.
 };
 
 } // namespace cranberry
--- a/test/soak/soak_checks.cpp
+++ b/test/soak/soak_checks.cpp
@@ -2,6 +2,7 @@
 #include "test/soak/soak_checks_base.h"
 
 #include <algorithm>
+#include <tuple>
 
 using cranberry::standin::FleetServer;
 using cranberry::standin::ServerRun;
@@ -39,6 +40,16 @@
   Quiets_.push_back({Server, From, To});
 }
 
+void SoakChecks::expectFlag(const std::string &Service, Time At) {
+  std::lock_guard Lock(Mutex_);
+  Flags_.emplace_back(Service, At);
+}
+
+void SoakChecks::expectLastFlag(Time From) {
+  std::lock_guard Lock(Mutex_);
+  LastFlagFrom_ = From;
+}
+
 size_t SoakChecks::countServed(Time From) {
   std::lock_guard Lock(Mutex_);
   return static_cast<size_t>(
@@ -55,11 +66,18 @@
   constexpr Duration Window = seconds(10);
   std::map<std::string, std::vector<Time>> Requests;
   for (const auto &[Id, Call] : Calls_)
-    Requests[Call.Service_].push_back(Call.Sent_);
+    if (!Call.Service_.empty())
+      Requests[Call.Service_].push_back(Call.Sent_);
   std::map<std::string, std::map<std::string, std::vector<Time>>> Runs;
   for (FleetServer &Each : Servers)
-    for (const ServerRun &Run : Each.Server_->getRuns())
-      Runs[Each.Service_][Run.AttemptId_].push_back(Run.At_);
+    for (const ServerRun &Run : Each.Server_->getRuns()) {
+      std::vector<Time> &Times = Runs[Each.Service_][Run.AttemptId_];
+      Times.push_back(Run.At_);
+      auto Call = Calls_.find(Run.AttemptId_);
+      bool IsFirst = Times.size() == 1 && Call != Calls_.end();
+      if (IsFirst && Call->second.Service_.empty())
+        Requests[Each.Service_].push_back(Call->second.Sent_);
+    }
   for (auto &[Service, ByRequest] : Runs) {
     std::vector<Time> Repeats;
     for (auto &[Id, Times] : ByRequest) {
@@ -84,6 +102,41 @@
   }
 }
 
+void SoakChecks::judgeFlags(std::vector<FleetServer> &Servers) {
+  struct FlagRun {
+    Time Sent_;           ///< When its client sent it.
+    Time At_;             ///< When it ran.
+    std::string Id_;      ///< Request.
+    std::string Service_; ///< Where it ran.
+  };
+  std::map<unsigned, std::vector<FlagRun>> ByClient;
+  for (FleetServer &Each : Servers)
+    for (const ServerRun &Run : Each.Server_->getRuns()) {
+      auto Call = Calls_.find(Run.AttemptId_);
+      if (Call != Calls_.end() && Call->second.Service_.empty())
+        ByClient[Call->second.Client_].push_back(
+            {Call->second.Sent_, Run.At_, Run.AttemptId_, Each.Service_});
+    }
+  for (auto &[Client, Runs] : ByClient) {
+    std::sort(Runs.begin(), Runs.end(), [](const FlagRun &A, const FlagRun &B) {
+      return std::tie(A.Sent_, A.At_) < std::tie(B.Sent_, B.At_);
+    });
+    // The oldest version that an entry VM can be at, by what it did so far.
+    size_t Version = 0;
+    for (const FlagRun &Run : Runs) {
+      size_t Next = Version;
+      while (Next < Flags_.size() && Flags_[Next].first != Run.Service_)
+        ++Next;
+      if (Next == Flags_.size() || Flags_[Next].second > Run.At_)
+        fail("ran by an earlier configuration than one before: " + Run.Id_);
+      else
+        Version = Next;
+      if (Run.Sent_ > LastFlagFrom_ && Run.Service_ != Flags_.back().first)
+        fail("ran by an old configuration: " + Run.Id_);
+    }
+  }
+}
+
 std::vector<std::string> SoakChecks::judge(std::vector<FleetServer> &Servers) {
   std::lock_guard Lock(Mutex_);
   std::map<std::string, unsigned> Runs;
@@ -95,7 +148,11 @@
         continue; // Its client was ended with the soak.
       if (Call->second.Target_ != Run.Target_)
         fail("another request than was sent: " + Run.AttemptId_);
-      if (Call->second.Service_ != Each.Service_)
+      const std::string &Home = Call->second.Home_;
+      if (!Home.empty() && !Each.Zone_.starts_with(Home + "-"))
+        fail("left its home region: " + Run.AttemptId_);
+      const std::string &Service = Call->second.Service_;
+      if (!Service.empty() && Service != Each.Service_)
         fail("run by a service of another route: " + Run.AttemptId_);
       for (const Quiet &Still : Quiets_)
         if (Still.Server_ == Each.Server_->getId() && Run.At_ > Still.From_ &&
@@ -114,6 +171,7 @@
       fail("sent to more servers than its route allows: " + Id);
   }
   judgeBudget(Servers);
+  judgeFlags(Servers);
   return Broken_;
 }
 
--- a/test/soak/soak_checks_base.h
+++ b/test/soak/soak_checks_base.h
@@ -16,7 +16,10 @@
 struct SeenCall {
   std::string Id_;             ///< Attempt id.
   std::string Target_;         ///< Path.
-  std::string Service_;        ///< Service that its route names.
+  unsigned Client_ = 0;        ///< Client, which uses one entry VM only.
+  std::string Service_;        ///< Service that its route names; empty if that
+                               ///< changes.
+  std::string Home_;           ///< Region where it has to run, or empty.
   bool IsIdempotent_ = false;  ///< Whether it may run twice.
   Time Sent_;                  ///< When it was sent.
   standin::ClientReply Reply_; ///< What came.
@@ -33,6 +36,13 @@
   /// broken around: its servers get nothing after \p From until \p To.
   void expectNoWork(const std::string &Server, Time From, Time To);
 
+  /// From \p At on the requests of "/flag/" belong to \p Service. Version by
+  /// version, in order.
+  void expectFlag(const std::string &Service, Time At);
+
+  /// Requests of "/flag/" sent after \p From run by the last version only.
+  void expectLastFlag(Time From);
+
   /// Judges all runs.
   /// \return What was broken, one line each.
   std::vector<std::string> judge(std::vector<standin::FleetServer> &Servers);
@@ -49,11 +59,14 @@
 
   void fail(const std::string &Text) { Broken_.push_back(Text); }
   void judgeBudget(std::vector<standin::FleetServer> &Servers);
+  void judgeFlags(std::vector<standin::FleetServer> &Servers);
 
-  std::mutex Mutex_;                      ///< Guards all.
-  std::map<std::string, SeenCall> Calls_; ///< By id.
-  std::vector<Quiet> Quiets_;             ///< See expectNoWork().
-  std::vector<std::string> Broken_;       ///< What was broken.
+  std::mutex Mutex_;                                ///< Guards all.
+  std::map<std::string, SeenCall> Calls_;           ///< By id.
+  std::vector<Quiet> Quiets_;                       ///< See expectNoWork().
+  std::vector<std::pair<std::string, Time>> Flags_; ///< See expectFlag().
+  Time LastFlagFrom_ = Time::max();                 ///< See expectLastFlag().
+  std::vector<std::string> Broken_;                 ///< What was broken.
 };
 
 } // namespace cranberry::test
--- a/test/soak/soak_main.cpp
+++ b/test/soak/soak_main.cpp
@@ -77,10 +77,45 @@
     return static_cast<unsigned>(Random_() % Limit);
   }
 
+  /// Writes the next version, in which one route leads to another service than
+  /// before.
   void configure() {
-    Fleet_.configure(
-        json::array({makeRoute("r-read", "/read/", "one", true, seconds(2)),
-                     makeRoute("r-pay", "/pay/", "two", false, seconds(2))}));
+    std::swap(Flag_, NextFlag_);
+    json Home = makeRoute("r-home", "/home/", "one", true, seconds(2));
+    Home["homeRegions"] = json::array({"north"});
+    Checks_.expectFlag(Flag_, getNow());
+    Fleet_.configure(json::array(
+        {makeRoute("r-read", "/read/", "one", true, seconds(2)),
+         makeRoute("r-pay", "/pay/", "two", false, seconds(2)),
+         makeRoute("r-flag", "/flag/", Flag_, false, seconds(2)), Home}));
+  }
+
+  /// Draws a request of one of the routes.
+  static SeenCall drawCall(std::mt19937 &Random) {
+    SeenCall Call;
+    std::string Prefix = "/flag/";
+    switch (Random() % 6) {
+    case 0:
+      break;
+    case 1:
+      Prefix = "/home/";
+      Call.Service_ = "one";
+      Call.Home_ = "north";
+      Call.IsIdempotent_ = true;
+      break;
+    case 2:
+    case 3:
+      Prefix = "/read/";
+      Call.Service_ = "one";
+      Call.IsIdempotent_ = true;
+      break;
+    default:
+      Prefix = "/pay/";
+      Call.Service_ = "two";
+      break;
+    }
+    Call.Target_ = absl::StrCat(Prefix, Random() % 20);
+    return Call;
   }
 
   void runClient(unsigned Number) {
@@ -88,12 +123,9 @@
     size_t Vm = Number % Fleet_.getVmCount();
     RouteClient Client(Fleet_.vm(Vm).FrontLink_->getAddress());
     for (unsigned I = 0; !IsStopping_; ++I) {
-      SeenCall Call;
-      Call.IsIdempotent_ = Random() % 2 == 0;
+      SeenCall Call = drawCall(Random);
+      Call.Client_ = Number;
       Call.Id_ = absl::StrCat("c", Number, "-", I);
-      Call.Target_ =
-          absl::StrCat(Call.IsIdempotent_ ? "/read/" : "/pay/", Random() % 20);
-      Call.Service_ = Call.IsIdempotent_ ? "one" : "two";
       Call.Sent_ = getNow();
       Call.Reply_ =
           Client.call({Call.IsIdempotent_ ? "GET" : "POST", Call.Target_,
@@ -206,8 +238,10 @@
     Clock_.pause(CalmBefore);
     FleetServer &Leaving = Fleet_.servers()[draw(4)];
     Fleet_.enlist(Leaving, true);
+    configure();
     Fleet_.store().put("evacuations", "north-b", json::object());
     Time Told = getNow();
+    Checks_.expectLastFlag(Told + DrainBound);
     Clock_.pause(2 * DrainBound);
     Time Until = getNow();
     Checks_.expectNoWork(Leaving.Server_->getId(), Told + DrainBound, Until);
@@ -223,6 +257,8 @@
   SoakChecks Checks_;                   ///< What must hold.
   RouteClient Clock_{""};               ///< Waits.
   Time End_;                            ///< End of the faults.
+  std::string Flag_ = "two";            ///< Service that "/flag/" leads to.
+  std::string NextFlag_ = "one";        ///< The one that it leads to next.
   std::atomic<bool> IsStopping_{false}; ///< Ends the clients.
 };
 
--- a/test/unit/store_follower_test.cpp
+++ b/test/unit/store_follower_test.cpp
@@ -19,7 +19,8 @@
 /// Follows one kind and keeps what it is told.
 struct Fixture {
   Fixture()
-      : Client_(Loop_, Store_.getAddress()), Log_(-1, "vm"),
+      : Client_(Loop_, Store_.getAddress(), platform::StoreLimits),
+        Log_(-1, "vm"),
         Follower_(Loop_, Client_, {"things", Duration(0), seconds(5)},
                   makeHandlers(), Log_) {}
 
--- /dev/null
+++ b/test/unit/store_relay_test.cpp
@@ -0,0 +1,295 @@
+/// \file store_relay_test.cpp What one entry VM reads for others.
+#include "platform/decode_func.h"
+#include "process/reader_choice_func.h"
+#include "standin/object_store_base.h"
+#include "steering/store_cache_base.h"
+#include "steering/store_relay_base.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+#include <thread>
+
+using namespace cranberry;
+using cranberry::platform::StoreChanges;
+using cranberry::platform::StoreObject;
+using cranberry::standin::ObjectStore;
+using cranberry::standin::StoreMode;
+using nlohmann::json;
+
+namespace {
+
+constexpr Duration Patience = seconds(20);
+
+std::vector<std::string> getNames(const StoreChanges &Changes) {
+  std::vector<std::string> Names;
+  for (const platform::StoreChange &Change : Changes.Changes_)
+    Names.push_back((Change.IsRemoved_ ? "-" : "") + Change.Object_.Name_);
+  return Names;
+}
+
+Member makeVm(const char *Name, const char *Zone, const char *Region,
+              MemberState State = MemberState::Alive) {
+  Member Vm;
+  Vm.Vm_ = Name;
+  Vm.Zone_ = Zone;
+  Vm.Region_ = Region;
+  Vm.State_ = State;
+  return Vm;
+}
+
+/// A VM that reads the store, and one that hears from it.
+struct Fixture {
+  Fixture()
+      : Log_(-1, "vm"),
+        StoreClient_(Loop_, Store_.getAddress(), platform::StoreLimits),
+        Reader_(Loop_, StoreClient_, {"things", Duration(0), seconds(5)},
+                makeHandlers(ReaderKnown_, true), Log_),
+        Relay_(Loop_, [this] { return IsFresh_ && !Reader_.isLost(); }),
+        Port_(Loop_, [this](const IngressExchangePtr &E) { Relay_.handle(E); }),
+        Hearer_(Loop_, StoreClient_, {"things", Duration(0), seconds(5)},
+                makeHandlers(Known_, false), Log_) {
+    Reason Why;
+    REQUIRE(Port_.open("127.0.0.1:0", Why));
+    RelayClient_ = std::make_unique<platform::StoreClient>(
+        Loop_, Port_.getAddress(), platform::RelayLimits);
+    Relay_.addKind("things", Reader_);
+  }
+
+  using Known = std::map<std::string, json>;
+
+  FollowHandlers makeHandlers(Known &Target, bool IsReader) {
+    FollowHandlers Handlers;
+    Handlers.OnList_ = [&Target](const std::vector<StoreObject> &All) {
+      Target.clear();
+      for (const StoreObject &Each : All)
+        Target[Each.Name_] = Each.Body_;
+    };
+    Handlers.OnChange_ = [&Target](const platform::StoreChange &Change) {
+      if (Change.IsRemoved_)
+        Target.erase(Change.Object_.Name_);
+      else
+        Target[Change.Object_.Name_] = Change.Object_.Body_;
+    };
+    if (IsReader)
+      Handlers.OnHeard_ = [this] { Relay_.wake("things"); };
+    Handlers.OnRelayLost_ = [this](const std::string &) {
+      ++RelayLost_;
+      Hearer_.setRelay(nullptr);
+    };
+    return Handlers;
+  }
+
+  template <typename F> bool runUntil(F Condition, Duration Limit = Patience) {
+    Time End = getNow() + Limit;
+    while (!Condition() && getNow() < End) {
+      Loop_.restart();
+      Loop_.run_one_for(milliseconds(5));
+    }
+    return Condition();
+  }
+
+  /// Both know "a" and the second hears from the first.
+  void startBoth() {
+    Store_.put("things", "a", 1);
+    Reader_.start();
+    Hearer_.start();
+    REQUIRE(runUntil([&] { return Known_ == Known{{"a", 1}}; }));
+    Hearer_.setRelay(RelayClient_.get());
+    // The watch that is out at the store ends with the next change.
+    Store_.put("things", "b", 2);
+    REQUIRE(runUntil([&] { return Known_ == Known{{"a", 1}, {"b", 2}}; }));
+  }
+
+  ObjectStore Store_;                                  ///< Stand-in.
+  boost::asio::io_context Loop_;                       ///< Loop under test.
+  EventLog Log_;                                       ///< Log.
+  platform::StoreClient StoreClient_;                  ///< Calls to the store.
+  std::unique_ptr<platform::StoreClient> RelayClient_; ///< To the reader.
+  Known ReaderKnown_;                                  ///< Heard by the reader.
+  Known Known_;                                        ///< Heard from it.
+  bool IsFresh_ = true;  ///< Whether the reader passes on.
+  int RelayLost_ = 0;    ///< Times that it was given up.
+  StoreFollower Reader_; ///< Reads the store.
+  StoreRelay Relay_;     ///< Passes it on.
+  IngressServer Port_;   ///< For the other.
+  StoreFollower Hearer_; ///< Hears from the relay.
+};
+
+} // namespace
+
+TEST_CASE("store cache: tells the state that changes led to, and removals") {
+  StoreCache Cache;
+  Cache.replaceAll({{"a", 1, 1}, {"b", 2, 1}}, 10);
+  CHECK_FALSE(Cache.getChangesSince(9));
+  CHECK(Cache.getChangesSince(10)->Changes_.empty());
+  Cache.apply({{{{"a", 11, 2}, false}}, 11});
+  Cache.apply({{{{"a", 12, 3}, false}, {{"b", 2, 1}, true}}, 12});
+  std::optional<StoreChanges> Changes = Cache.getChangesSince(10);
+  REQUIRE(Changes);
+  CHECK(Changes->Revision_ == 12);
+  CHECK(getNames(*Changes) == std::vector<std::string>{"a", "-b"});
+  CHECK(Changes->Changes_[0].Object_.Body_ == 3);
+  CHECK(Cache.getChangesSince(12)->Changes_.empty());
+  // A list after a failure tells what went meanwhile.
+  Cache.replaceAll({{"c", 20, 1}}, 20);
+  CHECK(getNames(*Cache.getChangesSince(12)) ==
+        std::vector<std::string>{"-a", "c"});
+  CHECK(Cache.getPage().Objects_.size() == 1);
+  CHECK(Cache.getPage().Revision_ == 20);
+}
+
+TEST_CASE("store cache: renewed entries are no news, forgotten removals are") {
+  json Entry = {{"service", "pay"}, {"coldRemaining", "0ms"}, {"sequence", 1}};
+  StoreCache Cache;
+  Cache.replaceAll({{"a", 1, Entry}}, 1);
+  Entry["sequence"] = 2;
+  Cache.apply({{{{"a", 2, Entry}, false}}, 2});
+  CHECK(Cache.getChangesSince(1)->Changes_.empty());
+  Entry["coldRemaining"] = "700ms";
+  Cache.apply({{{{"a", 3, Entry}, false}}, 3});
+  CHECK(Cache.getChangesSince(2)->Changes_.size() == 1);
+  Entry["sequence"] = 3;
+  Cache.apply({{{{"a", 4, Entry}, false}}, 4});
+  CHECK(Cache.getChangesSince(3)->Changes_.size() == 1);
+  Revision Next = 4;
+  for (int I = 0; I < 1200; ++I) {
+    std::string Name = "s" + std::to_string(I);
+    Cache.apply({{{{Name, ++Next, Entry}, false}}, Next});
+    ++Next;
+    Cache.apply({{{{Name, Next, Entry}, true}}, Next});
+  }
+  CHECK_FALSE(Cache.getChangesSince(4));
+  CHECK(Cache.getChangesSince(Next)->Changes_.empty());
+}
+
+TEST_CASE("store questions of entry VMs survive their way, and bad ones not") {
+  platform::StorePage Page{{{"a", 3, {{"x", "\xff"}}}}, false, 9};
+  Reason Why;
+  std::optional<platform::StorePage> Read =
+      platform::decodePage(platform::encodePage(Page), Why);
+  REQUIRE(Read);
+  CHECK(Read->Revision_ == 9);
+  REQUIRE(Read->Objects_.size() == 1);
+  CHECK(Read->Objects_[0].Revision_ == 3);
+  StoreChanges Changes{{{{"a", 3, 1}, true}}, 7};
+  std::optional<StoreChanges> Heard =
+      platform::decodeChanges(platform::encodeChanges(Changes), Why);
+  REQUIRE(Heard);
+  CHECK(getNames(*Heard) == std::vector<std::string>{"-a"});
+  std::optional<platform::StoreQuestion> Question =
+      platform::decodeStoreQuestion("/api/objects/servers?watch=5&waitMs=40");
+  REQUIRE(Question);
+  CHECK(Question->Kind_ == "servers");
+  CHECK(Question->WatchFrom_ == Revision(5));
+  CHECK(Question->Wait_ == milliseconds(40));
+  CHECK_FALSE(
+      platform::decodeStoreQuestion("/api/objects/servers")->WatchFrom_);
+  for (const char *Bad : {"/other", "/api/objects/servers?watch=x&waitMs=1",
+                          "/api/objects/servers?watch=1&waitMs=-1",
+                          "/api/objects/servers?watch=1"})
+    CHECK_FALSE(platform::decodeStoreQuestion(Bad));
+}
+
+TEST_CASE("one VM of a zone reads the store, and any helps one that can't") {
+  MemberList Vms{makeVm("a", "z1", "r"), makeVm("b", "z1", "r"),
+                 makeVm("c", "z1", "r"), makeVm("d", "z2", "r"),
+                 makeVm("e", "y1", "s")};
+  std::set<std::string> Readers;
+  for (size_t I = 0; I < 3; ++I) {
+    const Member *Reader = chooseReader(Vms, Vms[I], false);
+    Readers.insert(Reader ? Reader->Vm_ : Vms[I].Vm_);
+  }
+  REQUIRE(Readers.size() == 1);
+  CHECK_FALSE(chooseReader(Vms, Vms[3], false));
+  // Another one takes over from a reader that is suspected.
+  for (Member &Vm : Vms)
+    if (Vm.Vm_ == *Readers.begin())
+      Vm.State_ = MemberState::Suspect;
+  for (size_t I = 0; I < 3; ++I)
+    if (const Member *Reader = chooseReader(Vms, Vms[I], false))
+      CHECK(Reader->Vm_ != *Readers.begin());
+  // One that can't read the store asks its region, then anyone.
+  const Member *Near = chooseReader(Vms, Vms[3], true);
+  REQUIRE(Near);
+  CHECK(Near->Region_ == "r");
+  CHECK(Near->Vm_ != "d");
+  const Member *Far = chooseReader(Vms, Vms[4], true);
+  REQUIRE(Far);
+  CHECK(Far->Vm_ != "e");
+  CHECK_FALSE(chooseReader({Vms[4]}, Vms[4], true));
+}
+
+TEST_CASE("relay: changes come from the other VM without calls to the store") {
+  Fixture F;
+  F.startBoth();
+  unsigned Before = F.Store_.getCalls();
+  for (int I = 0; I < 5; ++I) {
+    F.Store_.put("things", "a", 10 + I);
+    CHECK(F.runUntil([&] { return F.Known_["a"] == 10 + I; }));
+  }
+  F.Store_.remove("things", "b");
+  CHECK(F.runUntil([&] { return !F.Known_.contains("b"); }));
+  // The reader's own watches, one a change.
+  CHECK(F.Store_.getCalls() - Before <= 7);
+  CHECK(F.RelayLost_ == 0);
+}
+
+TEST_CASE("relay: a VM that knows nothing new is left for the store at once") {
+  Fixture F;
+  F.startBoth();
+  F.IsFresh_ = false;
+  F.Store_.put("things", "a", 7);
+  CHECK(F.runUntil([&] { return F.Known_["a"] == 7; }, seconds(2)));
+  CHECK(F.RelayLost_ == 1);
+}
+
+TEST_CASE("relay: a VM whose port is gone is left for the store at once") {
+  Fixture F;
+  F.startBoth();
+  F.Port_.stopAccepting();
+  F.RelayClient_ = nullptr;
+  F.RelayClient_ = std::make_unique<platform::StoreClient>(
+      F.Loop_, "127.0.0.1:1", platform::RelayLimits);
+  F.Hearer_.setRelay(F.RelayClient_.get());
+  F.Store_.put("things", "a", 8);
+  CHECK(F.runUntil([&] { return F.Known_["a"] == 8; }, seconds(2)));
+  CHECK(F.RelayLost_ == 1);
+}
+
+TEST_CASE("relay: a VM that is behind does not take the other one back") {
+  Fixture F;
+  F.startBoth();
+  // The reader hears nothing more, the other one reads the store itself.
+  F.Hearer_.setRelay(nullptr);
+  F.Store_.deafenWatches();
+  F.Store_.put("things", "a", 9);
+  F.Hearer_.restart();
+  REQUIRE(F.runUntil([&] { return F.Known_["a"] == 9; }));
+  F.Hearer_.setRelay(F.RelayClient_.get());
+  F.Hearer_.restart();
+  CHECK(F.runUntil([&] { return F.RelayLost_ == 1; }));
+  CHECK(F.Known_["a"] == 9);
+}
+
+TEST_CASE("relay: a watch whose wait ends as news come is answered once") {
+  Fixture F;
+  F.startBoth();
+  for (int Round = 0; Round < 20; ++Round) {
+    int Answers = 0;
+    constexpr int Watches = 20;
+    Revision Now = F.Reader_.getRevision();
+    for (int I = 0; I < Watches; ++I)
+      F.RelayClient_->watch(
+          "things", Now, milliseconds(20),
+          [&](const platform::StoreReply &Reply) {
+            Answers += Reply.Status_ == platform::StoreStatus::Ok ? 1 : 0;
+          });
+    F.runUntil([] { return false; }, milliseconds(8));
+    F.Store_.put("things", "a", 100 + Round);
+    // The loop stands still until both have happened.
+    std::this_thread::sleep_for(milliseconds(25));
+    CHECK(F.runUntil([&] { return Answers == Watches; }));
+  }
+}
