--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 bench: build
 	build/bench/capacity_bench
 	build/bench/placement_bench
+	build/bench/steering_bench
 
 format:
 	clang-format --dry-run -Werror $$(git ls-files '*.cpp' '*.h' | grep -v generated)
--- /dev/null
+++ b/bench/steering_bench.cpp
@@ -0,0 +1,82 @@
+/// \file steering_bench.cpp Compares ways to steer on a model of the servers.
+///
+/// Virtual time: a run of 30 s takes a second or two, and repeats exactly.
+#include "test/support/steering_model_base.h"
+
+#include <boost/program_options.hpp>
+
+#include <cstdio>
+#include <iostream>
+#include <vector>
+
+using namespace cranberry;
+using namespace cranberry::test;
+
+namespace {
+
+void print(const SteeringModelPlan &Plan, const SteeringModelReport &Report) {
+  double All = std::max(1U, Report.Offered_);
+  double Run = std::max(1U, Report.InTime_ + Report.Late_);
+  std::printf("%-16s %4u %5.2f %8u %8.3f %6.3f %8.3f %6.3f %7u %7.0f %7.0f\n",
+              SteeringPolicyNames[static_cast<size_t>(Plan.Policy_)],
+              Plan.VmsPerZone_, Plan.Load_, Report.Offered_,
+              Report.InTime_ / All, Report.Late_ / All, Report.Refused_ / All,
+              Report.Warm_ / Run, Report.Repeats_, Report.getLatency(0.5),
+              Report.getLatency(0.99));
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  namespace po = boost::program_options;
+  SteeringModelPlan Plan;
+  unsigned Seconds = 30;
+  std::vector<double> Loads;
+  std::vector<unsigned> Vms;
+  po::options_description Flags(
+      "steering_bench: ways to steer, on a model of the servers");
+  // clang-format off
+  Flags.add_options()
+      ("load", po::value(&Loads)->multitoken()->default_value({0.5, 0.9, 1.3, 2.0}, "0.5 0.9 1.3 2"), "work on cold objects, by all slots")
+      ("vms", po::value(&Vms)->multitoken()->default_value({1, 4}, "1 4"), "entry VMs of a zone")
+      ("zones", po::value(&Plan.Zones_)->default_value(Plan.Zones_), "availability zones")
+      ("servers", po::value(&Plan.ServersPerZone_)->default_value(Plan.ServersPerZone_), "servers of a zone")
+      ("slots", po::value(&Plan.Server_.Slots_)->default_value(Plan.Server_.Slots_), "slots of a server")
+      ("warm-keeps", po::value(&Plan.Server_.WarmKeeps_)->default_value(Plan.Server_.WarmKeeps_), "objects that a server keeps warm")
+      ("warm-gain", po::value(&Plan.Server_.WarmGain_)->default_value(Plan.Server_.WarmGain_), "share of work saved on a warm object")
+      ("noise", po::value(&Plan.Server_.NoiseShare_)->default_value(Plan.Server_.NoiseShare_), "share of time with a noisy host")
+      ("objects", po::value(&Plan.Objects_)->default_value(Plan.Objects_), "objects of a zone's clients")
+      ("wave", po::value(&Plan.Wave_)->default_value(Plan.Wave_), "swing of a zone's load")
+      ("seconds", po::value(&Seconds)->default_value(Seconds), "length of a run")
+      ("seed", po::value(&Plan.Seed_)->default_value(Plan.Seed_), "seed")
+      ("help", "print this and exit");
+  // clang-format on
+  po::variables_map Given;
+  try {
+    po::store(po::parse_command_line(Argc, Argv, Flags), Given);
+    if (Given.count("help")) {
+      std::cout << Flags;
+      return 0;
+    }
+    po::notify(Given);
+  } catch (const po::error &Error) {
+    std::cerr << "steering_bench: " << Error.what() << "\n";
+    return 2;
+  }
+  Plan.Length_ = seconds(Seconds);
+  std::printf("seed %llu\n%-16s %4s %5s %8s %8s %6s %8s %6s %7s %7s %7s\n",
+              static_cast<unsigned long long>(Plan.Seed_), "policy", "vms",
+              "load", "offered", "in time", "late", "refused", "warm", "shed",
+              "p50 ms", "p99 ms");
+  for (unsigned Count : Vms)
+    for (double Load : Loads)
+      for (SteeringPolicy Policy :
+           {SteeringPolicy::Random, SteeringPolicy::LeastInFlight,
+            SteeringPolicy::Balancer}) {
+        Plan.VmsPerZone_ = Count;
+        Plan.Load_ = Load;
+        Plan.Policy_ = Policy;
+        print(Plan, SteeringModel(Plan).run());
+      }
+  return 0;
+}
--- a/test/soak/soak_main.cpp
+++ b/test/soak/soak_main.cpp
@@ -270,6 +270,7 @@
   unsigned Count = 1;
   unsigned Length = 10;
   std::string Daemon;
+  bool KeepsLogs = false;
   po::options_description Flags("cranberry-soak: entry VMs under faults");
   // clang-format off
   Flags.add_options()
@@ -277,6 +278,7 @@
       ("count", po::value(&Count)->default_value(1), "number of seeds")
       ("seconds", po::value(&Length)->default_value(10), "faults of each seed")
       ("daemon", po::value(&Daemon)->required(), "program of the daemon")
+      ("keep", po::bool_switch(&KeepsLogs), "keep the logs of seeds that held")
       ("help", "print this and exit");
   // clang-format on
   po::variables_map Given;
@@ -305,10 +307,12 @@
     for (const std::string &Line : Broken)
       std::cout << "seed " << Seed << ": " << Line << "\n";
     std::cout << "seed " << Seed << ": "
-              << (Broken.empty() ? "held" : "BROKEN, logs in " + Directory)
-              << std::endl;
-    if (Broken.empty())
+              << (Broken.empty() ? "held" : "BROKEN");
+    if (!Broken.empty() || KeepsLogs)
+      std::cout << ", logs in " << Directory;
+    else
       std::filesystem::remove_all(Directory);
+    std::cout << std::endl;
     Failed += Broken.empty() ? 0 : 1;
   }
   std::cout << Count - Failed << " passed, " << Failed << " failed\n";
--- /dev/null
+++ b/test/support/steering_model.cpp
@@ -0,0 +1,243 @@
+/// \file steering_model.cpp Entry VMs and servers of a region in virtual time.
+#include "test/support/steering_model_base.h"
+
+#include "core/overload_type.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+
+namespace cranberry::test {
+
+namespace {
+
+constexpr uint64_t Route = 1;
+
+/// Ways within a zone and between zones of a region, there and back; as the
+/// benches have them.
+constexpr Duration NearWay = std::chrono::microseconds(300);
+constexpr Duration RegionWay = std::chrono::microseconds(1400);
+
+constexpr Duration WavePeriod = seconds(12);
+
+std::string getId(size_t Server) { return absl::StrCat("s", Server); }
+
+size_t getIndex(const std::string &Id) { return std::stoul(Id.substr(1)); }
+
+std::vector<double> getWeights(const SteeringModelPlan &Plan) {
+  std::vector<double> Weights;
+  for (unsigned I = 1; I <= Plan.Objects_; ++I)
+    Weights.push_back(std::pow(I, -Plan.Skew_));
+  return Weights;
+}
+
+} // namespace
+
+double SteeringModelReport::getLatency(double Share) const {
+  if (LatencyMs_.empty())
+    return 0;
+  auto Last = static_cast<double>(LatencyMs_.size() - 1);
+  return LatencyMs_[static_cast<size_t>(Share * Last)];
+}
+
+SteeringModel::SteeringModel(const SteeringModelPlan &Plan)
+    : Plan_(Plan), Random_(Plan.Seed_) {
+  std::vector<double> Weights = getWeights(Plan);
+  Popularity_ = {Weights.begin(), Weights.end()};
+  unsigned ServerCount = Plan.Zones_ * Plan.ServersPerZone_;
+  for (unsigned I = 0; I < ServerCount; ++I)
+    Servers_.push_back(
+        std::make_unique<ServerModel>(Plan.Server_, Clock_, Random_()));
+  for (unsigned I = 0; I < Plan.Zones_ * Plan.VmsPerZone_; ++I) {
+    Vm Next{I / Plan.VmsPerZone_, nullptr,
+            std::vector<unsigned>(ServerCount, 0)};
+    if (Plan.Policy_ == SteeringPolicy::Balancer) {
+      Next.Balancer_ = std::make_unique<ServiceBalancer>(Gate_);
+      std::vector<BalancedServer> Known;
+      for (size_t Server = 0; Server < Servers_.size(); ++Server) {
+        BalancedServer Each;
+        Each.Id_ = getId(Server);
+        size_t Zone = Server / Plan.ServersPerZone_;
+        Each.Zone_ = absl::StrCat("north-", Zone);
+        Each.Region_ = "north";
+        Each.Proximity_ =
+            Zone == Next.Zone_ ? Proximity::SameZone : Proximity::SameRegion;
+        Each.RoundTrip_ = getWay(Next.Zone_, Server);
+        Each.Slots_ = Plan.Server_.Slots_;
+        Known.push_back(Each);
+      }
+      Next.Balancer_->setServers(Known);
+    }
+    Vms_.push_back(std::move(Next));
+  }
+}
+
+Duration SteeringModel::getWay(size_t Zone, size_t Server) const {
+  return Server / Plan_.ServersPerZone_ == Zone ? NearWay : RegionWay;
+}
+
+SteeringModelReport SteeringModel::run() {
+  Measured_ = Clock_.now() + Plan_.WarmUp_;
+  End_ = Measured_ + Plan_.Length_;
+  for (size_t Zone = 0; Zone < Plan_.Zones_; ++Zone)
+    addArrival(Zone);
+  Clock_.runUntil(End_);
+  while (!Flows_.empty() && Clock_.step()) {
+  }
+  std::sort(Report_.LatencyMs_.begin(), Report_.LatencyMs_.end());
+  return Report_;
+}
+
+void SteeringModel::addArrival(size_t Zone) {
+  constexpr double Second = 1e9;
+  double Slots = Plan_.ServersPerZone_ * Plan_.Server_.Slots_;
+  double Work = static_cast<double>(Plan_.Server_.Work_.count()) / Second;
+  auto Passed = static_cast<double>(Clock_.now().time_since_epoch().count());
+  double Turn = Passed / static_cast<double>(WavePeriod.count()) +
+                static_cast<double>(Zone) / Plan_.Zones_;
+  double Wave = 1 + Plan_.Wave_ * std::sin(2 * std::numbers::pi * Turn);
+  std::exponential_distribution<double> Pause(Plan_.Load_ * Slots / Work *
+                                              Wave);
+  Duration Next(static_cast<int64_t>(Pause(Random_) * Second));
+  Clock_.after(Next, [this, Zone] {
+    if (Clock_.now() >= End_)
+      return;
+    arrive(Zone);
+    addArrival(Zone);
+  });
+}
+
+uint64_t SteeringModel::drawKey(size_t Zone) {
+  // Hashed, as keys are evenly spread.
+  uint64_t Number = Zone * Plan_.Objects_ + Popularity_(Random_) + 1;
+  constexpr uint64_t Golden = 0x9e3779b97f4a7c15;
+  return Number * Golden;
+}
+
+void SteeringModel::arrive(size_t Zone) {
+  Time Now = Clock_.now();
+  uint64_t Id = NextFlow_++;
+  size_t Vm = Zone * Plan_.VmsPerZone_ + Random_() % Plan_.VmsPerZone_;
+  WaitingRequest Request;
+  Request.Flow_ = FlowIndex(Id);
+  Request.Route_ = Route;
+  Request.Key_ = drawKey(Zone);
+  Request.Arrived_ = Now;
+  Request.ObjectiveAt_ = Now + Plan_.Objective_;
+  Request.Deadline_ = Now + Plan_.Deadline_;
+  bool IsMeasured = Now >= Measured_;
+  Report_.Offered_ += IsMeasured ? 1 : 0;
+  Flows_[Id] = {Vm, Request, Now, IsMeasured};
+  if (!Vms_[Vm].Balancer_)
+    return start(Id, pickServer(Vms_[Vm]));
+  Vms_[Vm].Balancer_->submit(Request);
+  step(Vm);
+}
+
+size_t SteeringModel::pickServer(const Vm &From) {
+  size_t First = From.Zone_ * Plan_.ServersPerZone_;
+  if (Plan_.Policy_ == SteeringPolicy::Random)
+    return First + Random_() % Plan_.ServersPerZone_;
+  // Any other zone's server once those of its own have no slot left.
+  size_t Best = First;
+  for (size_t I = 0; I < Servers_.size(); ++I) {
+    size_t Server = (First + I) % Servers_.size();
+    bool IsNear = I < Plan_.ServersPerZone_;
+    bool IsFull = From.InFlight_[Best] >= Plan_.Server_.Slots_;
+    if (From.InFlight_[Server] < From.InFlight_[Best] && (IsNear || IsFull))
+      Best = Server;
+  }
+  return Best;
+}
+
+void SteeringModel::step(size_t Vm) {
+  for (const BalancerAction &Action : Vms_[Vm].Balancer_->step(Clock_.now()))
+    std::visit(Overload{[this](const StartAttempt &Start) {
+                          this->start(Start.Flow_.get(),
+                                      getIndex(Start.Server_));
+                        },
+                        [this](const RefuseRequest &Refuse) {
+                          refuse(Refuse.Flow_.get());
+                        },
+                        [](const SuspectAttempt &) {}},
+               Action);
+  wake(Vm);
+}
+
+void SteeringModel::wake(size_t Vm) {
+  Time Next = Vms_[Vm].Balancer_->getNextWake(Clock_.now());
+  if (Next == Time::max() || Flows_.empty())
+    return;
+  // Steps at answers and arrivals come sooner; this one looks after waiting.
+  if (Vms_[Vm].Balancer_->getWaiting() > 0)
+    Clock_.at(Next, [this, Vm, Waiting = Vms_[Vm].Balancer_->getWaiting()] {
+      if (Vms_[Vm].Balancer_->getWaiting() == Waiting)
+        step(Vm);
+    });
+}
+
+void SteeringModel::start(uint64_t FlowId, size_t Server) {
+  Flow &Open = Flows_.at(FlowId);
+  Open.Sent_ = Clock_.now();
+  Open.Request_.Tried_.push_back(getId(Server));
+  ++Vms_[Open.Vm_].InFlight_[Server];
+  Duration Way = getWay(Vms_[Open.Vm_].Zone_, Server) / 2;
+  Clock_.after(Way, [this, FlowId, Server, Way, Key = Open.Request_.Key_] {
+    Servers_[Server]->take(
+        Key, [this, FlowId, Server, Way](const ServerModel::Answer &Answer) {
+          Clock_.after(Way, [this, FlowId, Server, Answer] {
+            end(FlowId, Server, Answer);
+          });
+        });
+  });
+}
+
+void SteeringModel::end(uint64_t FlowId, size_t Server,
+                        const ServerModel::Answer &Answer) {
+  Time Now = Clock_.now();
+  Flow Open = Flows_.at(FlowId);
+  Vm &From = Vms_[Open.Vm_];
+  --From.InFlight_[Server];
+  if (From.Balancer_) {
+    EndedAttempt Ended;
+    Ended.Flow_ = FlowIndex(FlowId);
+    Ended.Route_ = Route;
+    Ended.Objective_ = Plan_.Objective_;
+    Ended.Server_ = getId(Server);
+    Ended.Verdict_ =
+        Answer.IsRun_ ? ServerVerdict::Served : ServerVerdict::Refused;
+    Ended.Ran_ = Now - Open.Sent_;
+    Ended.Load_ = Answer.Load_;
+    From.Balancer_->endAttempt(Ended, Now);
+  }
+  Duration Taken = Now - Open.Request_.Arrived_;
+  bool IsOver =
+      Answer.IsRun_ || !From.Balancer_ || Now >= Open.Request_.Deadline_;
+  if (!Answer.IsRun_ && Open.IsMeasured_)
+    ++Report_.Repeats_;
+  if (!IsOver) {
+    From.Balancer_->submit(Open.Request_);
+  } else if (!Answer.IsRun_) {
+    refuse(FlowId);
+  } else {
+    if (Open.IsMeasured_) {
+      ++(Taken <= Plan_.Objective_ ? Report_.InTime_ : Report_.Late_);
+      Report_.Warm_ += Answer.WasWarm_ ? 1 : 0;
+      Report_.LatencyMs_.push_back(
+          std::chrono::duration<double, std::milli>(Taken).count());
+    }
+    Flows_.erase(FlowId);
+  }
+  if (From.Balancer_)
+    step(Open.Vm_);
+}
+
+void SteeringModel::refuse(uint64_t FlowId) {
+  auto Found = Flows_.find(FlowId);
+  Report_.Refused_ += Found->second.IsMeasured_ ? 1 : 0;
+  Flows_.erase(Found);
+}
+
+} // namespace cranberry::test
