Fix: [Net] A client that goes takes its calls' ends with it

The call's timer, when its handler is already queued, used the client that setReader() had replaced; clients lived as long as the process before. Its test, in which both are due in one turn of the loop, crashes without the change.

The same kind of fault, without a crash: a follower that restarts while its timer's handler is queued went on twice, with twice the calls; handlers now carry the generation. Linter's findings mended with it.

--- a/src/ctl/log_explanation.cpp
+++ b/src/ctl/log_explanation.cpp
@@ -30,6 +30,12 @@
 
 std::string formatMs(double Value) { return absl::StrFormat("%.0f ms", Value); }
 
+/// Servers that told no load yet have an age since the clock's start.
+std::string formatLoadAge(double Ms) {
+  constexpr double Never = 60000;
+  return Ms > Never ? "never told" : "told " + formatMs(Ms) + " before";
+}
+
 /// \return A line of the request in words.
 std::string describe(const json &Line) {
   std::string Event = getText(Line, "event");
@@ -37,8 +43,8 @@
     return absl::StrCat("sent to ", getText(Line, "server"), " (",
                         getText(Line, "where"), "), by configuration ",
                         getNumber(Line, "version"), "; its load was taken for ",
-                        getNumber(Line, "busy"), ", told ",
-                        formatMs(getNumber(Line, "loadAgeMs")), " before; ",
+                        getNumber(Line, "busy"), ", ",
+                        formatLoadAge(getNumber(Line, "loadAgeMs")), "; ",
                         getNumber(Line, "queue"), " waited; expected ",
                         formatMs(getNumber(Line, "expectedMs")));
   if (Event == "refuse")
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -36,14 +36,14 @@
   return {std::string(Text.substr(0, Slash)), Target.empty() ? "/" : Target};
 }
 
-AttemptSpec makeSpec(const HttpCall &Call, const Url &To) {
+AttemptSpec makeSpec(HttpCall Call, const Url &To) {
   RequestMessage Message;
   Message.method_string(Call.Method_);
   Message.target(To.Target_);
   Message.set(http::field::host, To.Address_);
   for (const auto &[Name, Value] : Call.Headers_)
     Message.insert(Name, Value);
-  Message.body() = Call.Body_;
+  Message.body() = std::move(Call.Body_);
   AttemptSpec Spec;
   Spec.Bytes_ = serializeRequest(Message);
   Spec.IsHead_ = Call.Method_ == "HEAD";
@@ -109,13 +109,17 @@
 CallIndex HttpClient::startCall(HttpCall Call, CallEnded Ended) {
   sweepIfDue();
   CallIndex Index(NextCall_++);
-  Transfer &Out = *(Transfers_[Index] =
-                        std::make_unique<Transfer>(Loop_, std::move(Ended)));
+  auto Out = std::make_shared<Transfer>(Loop_, std::move(Ended));
+  Transfers_[Index] = Out;
+  std::weak_ptr<Transfer> Weak = Out;
   Url To = splitUrl(Call.Url_);
+  Duration Timeout = Call.Timeout_;
   std::optional<boost::asio::ip::tcp::endpoint> Server =
       parseEndpoint(To.Address_);
   if (!Server) {
-    boost::asio::post(Loop_, [this, Index, Address = To.Address_] {
+    boost::asio::post(Loop_, [this, Index, Weak, Address = To.Address_] {
+      if (Weak.expired())
+        return;
       HttpResult Result;
       Result.Code_ = ResultCode::ServerConnectFailed;
       Result.Text_ = "not an address: " + Address;
@@ -123,15 +127,15 @@
     });
     return Index;
   }
-  Out.Attempt_ =
-      Connections_.send(To.Address_, *Server, makeSpec(Call, To),
+  Out->Attempt_ =
+      Connections_.send(To.Address_, *Server, makeSpec(std::move(Call), To),
                         [this, Index](AttemptResult Attempt) {
                           finish(Index, makeResult(std::move(Attempt)));
                         });
   // Set after the connection's own timer, which tells that nothing was sent.
-  Out.Limit_.expires_after(Call.Timeout_);
-  Out.Limit_.async_wait([this, Index](error_code Cancelled) {
-    if (Cancelled)
+  Out->Limit_.expires_after(Timeout);
+  Out->Limit_.async_wait([this, Index, Weak](error_code Cancelled) {
+    if (Cancelled || Weak.expired())
       return;
     HttpResult Result;
     Result.Code_ = ResultCode::ServerAnswerLost;
@@ -145,7 +149,7 @@
   auto Found = Transfers_.find(Call);
   if (Found == Transfers_.end())
     return;
-  std::unique_ptr<Transfer> Out = std::move(Found->second);
+  std::shared_ptr<Transfer> Out = std::move(Found->second);
   Transfers_.erase(Found);
   if (Result.Code_ != ResultCode::Ok)
     Out->Attempt_.cancel();
--- a/src/net/http_client_base.h
+++ b/src/net/http_client_base.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 
 namespace cranberry {
 
@@ -40,9 +41,11 @@
   void finish(CallIndex Call, HttpResult Result);
   void sweepIfDue();
 
-  boost::asio::io_context &Loop_;                            ///< Loop.
-  ConnectionPool Connections_;                               ///< By address.
-  std::map<CallIndex, std::unique_ptr<Transfer>> Transfers_; ///< Calls out.
+  boost::asio::io_context &Loop_; ///< Loop.
+  ConnectionPool Connections_;    ///< By address.
+  /// Calls out. Shared, as a timer's handler may be on its way when a call
+  /// ends, or when the client goes.
+  std::map<CallIndex, std::shared_ptr<Transfer>> Transfers_;
   uint64_t NextCall_ = 1; ///< Number of the next call.
   Time NextSweep_;        ///< When old connections are looked for again.
 };
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -38,8 +38,11 @@
 
 void StoreFollower::after(Duration Wait, void (StoreFollower::*Next)()) {
   Timer_.expires_after(Wait);
-  Timer_.async_wait([this, Next](boost::system::error_code Cancelled) {
-    if (!Cancelled)
+  // A handler that is on its way can't be cancelled; without the generation a
+  // restart would go on beside what it replaces.
+  Timer_.async_wait([this, Next, Generation = Generation_](
+                        boost::system::error_code Cancelled) {
+    if (!Cancelled && Generation == Generation_)
       (this->*Next)();
   });
 }
--- a/test/process/steering_test.cpp
+++ b/test/process/steering_test.cpp
@@ -431,10 +431,10 @@
   std::string Served = F.makeId();
   CHECK(F.call(Client, "/read/x", Served).Status_ == 200);
   std::string Out = F.Directory_.Path_ + "/explanation";
+  const std::string Program = PROGRAM_DIR "/cranberryctl";
   auto Explain = [&](const std::string &Id) {
-    ChildProcess Tool({PROGRAM_DIR "/cranberryctl", "explain", Id, "--file",
-                       F.Fleet_.getLogPath(0)},
-                      Out, Out);
+    ChildProcess Tool(
+        {Program, "explain", Id, "--file", F.Fleet_.getLogPath(0)}, Out, Out);
     int Code = Tool.wait();
     std::ifstream File(Out);
     std::stringstream Text;
--- a/test/unit/connection_test.cpp
+++ b/test/unit/connection_test.cpp
@@ -317,3 +317,30 @@
   Server->stopAccepting();
   CHECK(callAndWait(Call).Code_ == ResultCode::ServerConnectFailed);
 }
+
+TEST_CASE("a client that goes as a call's time ends reports nothing") {
+  std::atomic<bool> Stop{false};
+  ScriptedServer Server([&](int, int, const std::string &) {
+    while (!Stop)
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    return std::string();
+  });
+  for (int Round = 0; Round < 20; ++Round) {
+    EventLoop Loop;
+    auto Client = std::make_unique<HttpClient>(Loop.getContext());
+    HttpCall Call;
+    Call.Url_ = Server.Url_;
+    Call.Timeout_ = milliseconds(20);
+    int Ends = 0;
+    Client->startCall(Call, [&](const HttpResult &) { ++Ends; });
+    // Both are due when the loop goes on, and this one comes first.
+    Loop.addTimer(EventLoop::now() + milliseconds(19), [&] { Client.reset(); });
+    Loop.addTimer(EventLoop::now() + milliseconds(5), [] {
+      std::this_thread::sleep_for(std::chrono::milliseconds(25));
+    });
+    Loop.addTimer(EventLoop::now() + milliseconds(60), [&] { Loop.stop(); });
+    Loop.run();
+    CHECK(Ends == 0);
+  }
+  Stop = true;
+}
--- a/test/unit/store_relay_test.cpp
+++ b/test/unit/store_relay_test.cpp
@@ -15,7 +15,6 @@
 using cranberry::platform::StoreChanges;
 using cranberry::platform::StoreObject;
 using cranberry::standin::ObjectStore;
-using cranberry::standin::StoreMode;
 using nlohmann::json;
 
 namespace {
--- a/test/unit/surface_test.cpp
+++ b/test/unit/surface_test.cpp
@@ -91,6 +91,7 @@
   std::vector<Reason> Faults;
   CHECK_FALSE(parseSettings(R"({"vm":"","zone":"z","colour":1})", Faults));
   std::vector<std::string> Fields;
+  Fields.reserve(Faults.size());
   for (const Reason &Why : Faults)
     Fields.push_back(Why.Field_);
   CHECK(Fields == std::vector<std::string>{"colour", "vm", "region", "http",
