Fix: [Test] Tests of ends that meet don't depend on the machine's speed

The test of a client that goes set its end after the call's limit was running: a machine that stood still for 1 ms between the two would have failed it. The end is now taken before, and the loop waits for the clock. What is checked is unchanged.

--- a/test/unit/connection_test.cpp
+++ b/test/unit/connection_test.cpp
@@ -321,8 +321,7 @@
 TEST_CASE("a client that goes as a call's time ends reports nothing") {
   std::atomic<bool> Stop{false};
   ScriptedServer Server([&](int, int, const std::string &) {
-    while (!Stop)
-      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    Stop.wait(false);
     return std::string();
   });
   for (int Round = 0; Round < 20; ++Round) {
@@ -332,15 +331,20 @@
     Call.Url_ = Server.Url_;
     Call.Timeout_ = milliseconds(20);
     int Ends = 0;
+    // Earlier than the call's limit on a machine of any speed.
+    Time Going = EventLoop::now() + Call.Timeout_ - milliseconds(1);
     Client->startCall(Call, [&](const HttpResult &) { ++Ends; });
-    // Both are due when the loop goes on, and this one comes first.
-    Loop.addTimer(EventLoop::now() + milliseconds(19), [&] { Client.reset(); });
-    Loop.addTimer(EventLoop::now() + milliseconds(5), [] {
-      std::this_thread::sleep_for(std::chrono::milliseconds(25));
+    Time BothDue = EventLoop::now() + Call.Timeout_ + milliseconds(1);
+    Loop.addTimer(Going, [&] { Client.reset(); });
+    // The loop stands still until both are due.
+    Loop.addTimer(EventLoop::now(), [BothDue] {
+      while (EventLoop::now() < BothDue)
+        std::this_thread::yield();
     });
-    Loop.addTimer(EventLoop::now() + milliseconds(60), [&] { Loop.stop(); });
+    Loop.addTimer(BothDue + milliseconds(1), [&] { Loop.stop(); });
     Loop.run();
     CHECK(Ends == 0);
   }
   Stop = true;
+  Stop.notify_all();
 }
--- a/test/unit/store_relay_test.cpp
+++ b/test/unit/store_relay_test.cpp
@@ -275,20 +275,24 @@
 TEST_CASE("relay: a watch whose wait ends as news come is answered once") {
   Fixture F;
   F.startBoth();
+  // Patient, so that a slow machine does not end the calls before their answer.
+  platform::StoreClient Client(F.Loop_, F.Port_.getAddress(),
+                               {Patience, Patience, Patience});
   for (int Round = 0; Round < 20; ++Round) {
     int Answers = 0;
     constexpr int Watches = 20;
     Revision Now = F.Reader_.getRevision();
     for (int I = 0; I < Watches; ++I)
-      F.RelayClient_->watch(
-          "things", Now, milliseconds(20),
-          [&](const platform::StoreReply &Reply) {
-            Answers += Reply.Status_ == platform::StoreStatus::Ok ? 1 : 0;
-          });
+      Client.watch("things", Now, milliseconds(20),
+                   [&](const platform::StoreReply &Reply) {
+                     Answers +=
+                         Reply.Status_ == platform::StoreStatus::Ok ? 1 : 0;
+                   });
     F.runUntil([] { return false; }, milliseconds(8));
     F.Store_.put("things", "a", 100 + Round);
-    // The loop stands still until both have happened.
-    std::this_thread::sleep_for(milliseconds(25));
+    // The loop stands still until the waits are over.
+    for (Time Over = getNow() + milliseconds(25); getNow() < Over;)
+      std::this_thread::yield();
     CHECK(F.runUntil([&] { return Answers == Watches; }));
   }
 }
