Feature: [Steering] Log and count the use of servers that limit their rate

The logs couldn't tell whether entry VMs know a server's limit, or how much each of them sends there. The adapter decodes Server-Limit; rate-use lines give the limit and this VM's starts in 4 s, a gauge the number of limited servers. No decision changes.

--- a/src/platform/decode.cpp
+++ b/src/platform/decode.cpp
@@ -10,6 +10,8 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <cmath>
+
 using nlohmann::json;
 
 namespace cranberry::platform {
@@ -213,6 +215,14 @@
   return Result;
 }
 
+/// \return The requests per second, or nothing if \p Text is not a valid rate.
+std::optional<double> decodeRate(const std::string &Text) {
+  double Rate = 0;
+  if (!absl::SimpleAtod(Text, &Rate) || !std::isfinite(Rate) || Rate < 0)
+    return std::nullopt;
+  return Rate;
+}
+
 json encodeObject(const StoreObject &Object) {
   return {
       {"metadata", {{"name", Object.Name_}, {"revision", Object.Revision_}}},
@@ -245,6 +255,7 @@
   Result.IsNotExecuted_ = Response.count(header::NotExecuted) > 0 ||
                           Response.result_int() == Misdirected;
   Result.Load_ = decodeLoad(toString(Response[header::Load]));
+  Result.RateLimit_ = decodeRate(toString(Response[header::RateLimit]));
   int64_t Cold = 0;
   if (absl::SimpleAtoi(toString(Response[header::ColdRemaining]), &Cold))
     Result.ColdRemaining_ = milliseconds(Cold);
--- a/src/platform/decode_func.h
+++ b/src/platform/decode_func.h
@@ -30,6 +30,8 @@
   std::optional<LoadReport> Load_; ///< Load, if reported.
   std::optional<Duration>
       ColdRemaining_; ///< Remaining cold phase, if reported.
+  /// Requests per second that the server accepts in total, if limited.
+  std::optional<double> RateLimit_;
 };
 
 /// Parameters of a client's look-up of entry VMs.
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -14,6 +14,8 @@
 inline constexpr const char *ExpectedInstance =
     "X-Cranberrypost-Expected-Instance";
 inline constexpr const char *Load = "X-Cranberrypost-Server-Load";
+/// Requests per second that the server accepts from all entry VMs together.
+inline constexpr const char *RateLimit = "Server-Limit";
 inline constexpr const char *NotExecuted = "X-Cranberrypost-Not-Executed";
 inline constexpr const char *Instance = "X-Cranberrypost-Instance-Id";
 inline constexpr const char *ColdRemaining =
--- a/src/request/balancer_type.h
+++ b/src/request/balancer_type.h
@@ -83,6 +83,17 @@
   ServerAttemptOutcome Outcome_ = ServerAttemptOutcome::Lost;
   Duration Ran_{0};                ///< Time from send to end.
   std::optional<LoadReport> Load_; ///< Load report in the response, if any.
+  /// Whether the response says if the server limits its request rate.
+  bool HasRateReport_ = false;
+  /// Requests per second from all entry VMs, if the server limits them.
+  std::optional<double> RateLimit_;
+};
+
+/// Use of a server that limits its request rate.
+struct RateUse {
+  std::string Server_;  ///< Instance id.
+  double Limit_ = 0;    ///< Requests per second from all entry VMs.
+  unsigned Starts_ = 0; ///< This VM's attempts within RecentStarts::Window.
 };
 
 /// Sends a request to a server.
--- a/src/request/server_state.cpp
+++ b/src/request/server_state.cpp
@@ -47,6 +47,7 @@
     // The server restarted: estimates for the previous process are void.
     ObjectCache_.clear();
     OtherVmLoad_ = 0;
+    RateLimit_.reset();
     Slowness_ = 1;
     FailureShare_ = 0;
     BackoffUntil_ = Time();
@@ -67,6 +68,7 @@
       {Flow, Now, Expected, Key, HomeRank, ObjectCache_.get(Key)});
   ObjectCache_.touch(Key);
   ColdStartLimiter_.recordStart(Now);
+  RecentStarts_.recordStart(Now);
 }
 
 ServiceTimeSample ServerState::recordServed(const Attempt &Done, Duration Ran,
@@ -99,6 +101,8 @@
   Attempts_.erase(Found);
   if (Ended.Load_)
     recordLoad(*Ended.Load_, Now);
+  if (Ended.HasRateReport_)
+    RateLimit_ = Ended.RateLimit_;
   ServerAttemptOutcome Verdict = Ended.Outcome_;
   bool IsFailure = Verdict != ServerAttemptOutcome::Served;
   if (Verdict != ServerAttemptOutcome::Withdrawn)
--- a/src/request/server_state_base.h
+++ b/src/request/server_state_base.h
@@ -4,6 +4,7 @@
 
 #include "request/balancer_type.h"
 #include "request/object_cache_model_base.h"
+#include "request/recent_starts_base.h"
 #include "request/service_time_history_base.h"
 #include "request/start_rate_limiter_base.h"
 
@@ -80,6 +81,13 @@
   /// \return Attempts that became suspect since the last call.
   std::vector<FlowIndex> takeSuspects(Time Now);
 
+  /// \return Requests per second that the server accepts from all entry VMs
+  /// together, if it limits them.
+  std::optional<double> getRateLimit() const { return RateLimit_; }
+
+  /// \return Attempts of this VM within RecentStarts::Window.
+  unsigned getRecentStarts(Time Now) { return RecentStarts_.getCount(Now); }
+
   /// Extends the cold phase until \p Until, and never shortens it.
   void extendColdPhase(Time Until);
 
@@ -104,6 +112,8 @@
   ObjectCacheModel ObjectCache_;  ///< Model of the server's object cache.
   Duration MeanServiceTime_ = milliseconds(150); ///< Smoothed service time.
   StartRateLimiter ColdStartLimiter_; ///< Limits starts while it is cold.
+  std::optional<double> RateLimit_;   ///< Limit that the server last named.
+  RecentStarts RecentStarts_;         ///< Attempts of this VM.
   double OtherVmLoad_ = 0;   ///< Requests of other VMs at the last load report.
   Time LoadReportedAt_;      ///< Time of the last load report.
   double Interference_ = 1;  ///< Interference in the last load report.
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -383,6 +383,15 @@
       [Now](const ServerState *Server) { return Server->isCold(Now); }));
 }
 
+std::vector<RateUse> ServiceBalancer::getRateUse(Time Now) const {
+  std::vector<RateUse> Result;
+  for (ServerState *Server : Usable_)
+    if (std::optional<double> Limit = Server->getRateLimit())
+      Result.push_back(
+          {Server->getConfig().Id_, *Limit, Server->getRecentStarts(Now)});
+  return Result;
+}
+
 unsigned ServiceBalancer::getInFlight() const {
   unsigned Result = 0;
   for (const auto &[Id, Server] : Servers_)
--- a/src/request/service_balancer_base.h
+++ b/src/request/service_balancer_base.h
@@ -60,6 +60,10 @@
 
   /// \return Number of cold servers among those that accept requests.
   unsigned getColdServers(Time Now) const;
+
+  /// \return Use of the servers that limit their request rate.
+  std::vector<RateUse> getRateUse(Time Now) const;
+
   const ServiceTimeHistory &getHistory() const { return History_; }
 
 private:
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -97,6 +97,18 @@
   }
 }
 
+void RequestRouter::logRateUse() {
+  Time Now = getNow();
+  for (auto &[Name, Pool] : Pools_)
+    for (const RateUse &Use : Pool->Balancer_.getRateUse(Now))
+      Log_.write(Now, "rate-use",
+                 {{"server", Use.Server_},
+                  {"service", Name},
+                  {"limit", Use.Limit_},
+                  {"starts", Use.Starts_},
+                  {"windowMs", RecentStarts::Window}});
+}
+
 void RequestRouter::updateGauges() {
   Time Now = getNow();
   for (auto &[Name, Pool] : Pools_) {
@@ -108,6 +120,9 @@
                       static_cast<double>(Pool->Servers_.size()));
     Metrics_.setGauge("cranberry_cold_servers", Name,
                       Pool->Balancer_.getColdServers(Now));
+    Metrics_.setGauge(
+        "cranberry_limited_servers", Name,
+        static_cast<double>(Pool->Balancer_.getRateUse(Now).size()));
     Metrics_.setGauge("cranberry_repeat_budget_left", Name,
                       Pool->RetryBudget_.getRemaining(Now));
   }
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -61,6 +61,10 @@
   /// Closes connections that were idle for too long to be reused.
   void closeIdleConnections() { Connections_.closeExpired(getNow()); }
 
+  /// Logs this VM's use of servers that limit their request rate, which adds
+  /// up over all VMs.
+  void logRateUse();
+
   /// Updates the gauges of the metrics.
   void updateGauges();
 
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -208,6 +208,10 @@
   updateRouterServers();
   Router_.closeIdleConnections();
   Metrics_.observeAge("servers", View_.getServerAge(getNow()));
+  if (getNow() >= NextRateLog_) {
+    NextRateLog_ = getNow() + RecentStarts::Window;
+    Router_.logRateUse();
+  }
   Log_.flush();
   if (getNow() >= NextSettingsCheck_)
     reloadSettings();
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -60,6 +60,7 @@
   Settings Settings_;                   ///< Settings in force.
   SettingsFile SettingsFile_;           ///< File that is checked for changes.
   Time NextSettingsCheck_;              ///< Time of the next check of the file.
+  Time NextRateLog_; ///< Time of the next log of limited servers.
   boost::asio::io_context Loop_;        ///< Event loop.
   EventLog Log_;                        ///< Event log.
   Metrics Metrics_;                     ///< Metrics of the daemon.
