--- a/standin/routed_server.cpp
+++ b/standin/routed_server.cpp
@@ -65,6 +65,10 @@
   Thread_.call([&] { ServiceTime_ = ServiceTime; });
 }
 
+void RoutedServer::setRateLimit(std::optional<double> PerSecond) {
+  Thread_.call([&] { RateLimit_ = PerSecond; });
+}
+
 std::vector<ServerRun> RoutedServer::getRuns() {
   return Thread_.call([&] { return Runs_; });
 }
@@ -86,6 +90,8 @@
     ResponseMessage Refusal =
         makeResponse(IsOther ? Misdirected : Unavailable, "");
     Refusal.set(platform::header::NotExecuted, "1");
+    if (RateLimit_)
+      Refusal.set(platform::header::RateLimit, absl::StrCat(*RateLimit_));
     Exchange->respond(Refusal);
     return;
   }
@@ -131,6 +137,8 @@
     Response.set(platform::header::Signature, Id_);
   Response.set(platform::header::Load,
                absl::StrCat(Running_, ",0,", Slots_, ",100"));
+  if (RateLimit_)
+    Response.set(platform::header::RateLimit, absl::StrCat(*RateLimit_));
   Exchange->respond(Response);
 }
 
--- a/standin/routed_server_base.h
+++ b/standin/routed_server_base.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,10 @@
   /// @{
   void setFault(ResponseFault Fault);
   void setServiceTime(Duration ServiceTime);
+
+  /// Names a limit in all responses from now on, or none.
+  /// \param PerSecond Requests per second from all entry VMs together.
+  void setRateLimit(std::optional<double> PerSecond);
   std::vector<ServerRun> getRuns();
   unsigned getArrivals();
 
@@ -69,6 +74,7 @@
   unsigned Slots_;       ///< Maximum number of concurrent requests.
   Duration ServiceTime_; ///< Service time of each request.
   ResponseFault Fault_ = ResponseFault::None; ///< Fault being injected.
+  std::optional<double> RateLimit_;           ///< Limit that responses name.
   unsigned Running_ = 0;                      ///< Number of requests in flight.
   unsigned Arrivals_ = 0;                     ///< Number of requests received.
   unsigned Cancelled_ = 0;                    ///< Number of cancelled runs.
