Fix: [Steering] VMs together keep the request rate that a server names

A server in need names the requests a second that it takes from all entry VMs together. Back ends got up to three and a half times as many as that allows (92 to 124 in 4 s where the rule allows 32).

Cause: no VM acted on the limit. Class of fault: a bound on a sum that each VM counts for itself, without anything that makes the parts add up. A bound on each VM alone would not have been enough: five VMs share a server, and at 8.1 s in the timeline no single one was far over the limit.

Now one VM of the server's zone keeps a ledger for each limited server, chosen by a hash among those alive. The VMs that use the server report what they need twice a second, and at once when the limit changes; the ledger answers with max-min fair shares, and a token bucket for the share takes part in the choice of the server as a wait. So requests go to another server when that is sooner, and are refused at once when no share lets them start in time. The newest statement of the server counts, whichever VM heard it. A VM that can't reach a ledger uses 0.4 of the limit divided by all VMs; when a part of the VMs is out of sight, a ledger divides only its part.

Tried and left out: weights of 4, 2 and 1 for VMs of the server's zone, region and beyond.

--- a/src/process/store_reader.cpp
+++ b/src/process/store_reader.cpp
@@ -1,35 +1,12 @@
 /// \file store_reader.cpp Selects the entry VM that reads the store.
 #include "process/store_reader_func.h"
 
-#include "process/membership_base.h"
+#include "process/member_selection_func.h"
 
-#include <functional>
 #include <string>
-#include <vector>
 
 namespace cranberry {
 
-namespace {
-
-/// Selects an alive member that satisfies \p IsCandidate by rendezvous hashing
-/// of \p Key.
-const Member *
-selectMember(const MemberList &Members, const std::string &Key,
-             const std::function<bool(const Member &)> &IsCandidate) {
-  std::vector<const Member *> Candidates;
-  std::vector<std::string> Names;
-  for (const Member &Vm : Members) {
-    if (Vm.State_ != MemberState::Alive || !IsCandidate(Vm))
-      continue;
-    Candidates.push_back(&Vm);
-    Names.push_back(Vm.Vm_);
-  }
-  std::optional<size_t> Selected = pickOwner(Names, Key);
-  return Selected ? Candidates[*Selected] : nullptr;
-}
-
-} // namespace
-
 const Member *selectStoreReader(const MemberList &Members, const Member &Self,
                                 bool IsStoreLost) {
   const Member *ZoneReader =
--- a/src/request/balancer_type.h
+++ b/src/request/balancer_type.h
@@ -2,6 +2,7 @@
 #ifndef CRANBERRY_REQUEST_BALANCER_TYPE_H
 #define CRANBERRY_REQUEST_BALANCER_TYPE_H
 
+#include "core/rate_limit_type.h"
 #include "core/strong_index_type.h"
 #include "core/time_type.h"
 
@@ -83,19 +84,25 @@
   ServerAttemptOutcome Outcome_ = ServerAttemptOutcome::Lost;
   Duration Ran_{0};                ///< Time from send to end.
   std::optional<LoadReport> Load_; ///< Load report in the response, if any.
-  /// Whether the response says if the server limits its request rate.
-  bool HasRateReport_ = false;
-  /// Requests per second from all entry VMs, if the server limits them.
-  std::optional<double> RateLimit_;
 };
 
 /// Use of a server that limits its request rate.
 struct RateUse {
   std::string Server_;  ///< Instance id.
   double Limit_ = 0;    ///< Requests per second from all entry VMs.
+  double Share_ = 0;    ///< Part of it that this VM may use.
   unsigned Starts_ = 0; ///< This VM's attempts within RecentStarts::Window.
 };
 
+/// Need of this VM for the request rate of a server.
+struct RateDemand {
+  std::string Server_;   ///< Instance id.
+  std::string Zone_;     ///< Availability zone of the server.
+  std::string Region_;   ///< Region of that zone.
+  NamedRateLimit Limit_; ///< Limit that this VM knows.
+  double PerSecond_ = 0; ///< Starts per second.
+};
+
 /// Sends a request to a server.
 struct StartAttempt {
   FlowIndex Flow_;      ///< Client request.
--- a/src/request/server_state.cpp
+++ b/src/request/server_state.cpp
@@ -47,7 +47,7 @@
     // The server restarted: estimates for the previous process are void.
     ObjectCache_.clear();
     OtherVmLoad_ = 0;
-    RateLimit_.reset();
+    RateLimiter_.reset();
     Slowness_ = 1;
     FailureShare_ = 0;
     BackoffUntil_ = Time();
@@ -68,7 +68,7 @@
       {Flow, Now, Expected, Key, HomeRank, ObjectCache_.get(Key)});
   ObjectCache_.touch(Key);
   ColdStartLimiter_.recordStart(Now);
-  RecentStarts_.recordStart(Now);
+  RateLimiter_.recordStart(Now);
 }
 
 ServiceTimeSample ServerState::recordServed(const Attempt &Done, Duration Ran,
@@ -101,8 +101,6 @@
   Attempts_.erase(Found);
   if (Ended.Load_)
     recordLoad(*Ended.Load_, Now);
-  if (Ended.HasRateReport_)
-    RateLimit_ = Ended.RateLimit_;
   ServerAttemptOutcome Verdict = Ended.Outcome_;
   bool IsFailure = Verdict != ServerAttemptOutcome::Served;
   if (Verdict != ServerAttemptOutcome::Withdrawn)
@@ -173,16 +171,18 @@
   if (isCold(Now) && (Now < Config_.ColdStartsFrom_ ||
                       !ColdStartLimiter_.canStart(Config_.ColdStartRate_, Now)))
     return false;
-  return !isSilent(Now);
+  return RateLimiter_.getWait(0, Now) && !isSilent(Now);
 }
 
 Duration ServerState::getExpectedWait(unsigned Planned, Time Now) const {
   constexpr double Rounding = 0.5; // The load of other VMs is an estimate.
   double Excess = getEstimatedLoad(Now) + Planned + 1 - Config_.Slots_;
+  Duration RateWait = getRateWait(Planned, Now);
   if (Excess <= Rounding)
-    return Duration(0);
-  return scaleDuration(MeanServiceTime_,
-                       std::max(1.0, Excess) / Config_.Slots_);
+    return RateWait;
+  return std::max(
+      RateWait,
+      scaleDuration(MeanServiceTime_, std::max(1.0, Excess) / Config_.Slots_));
 }
 
 bool ServerState::isSilent(Time Now) const {
--- a/src/request/server_state_base.h
+++ b/src/request/server_state_base.h
@@ -4,8 +4,8 @@
 
 #include "request/balancer_type.h"
 #include "request/object_cache_model_base.h"
-#include "request/recent_starts_base.h"
 #include "request/service_time_history_base.h"
+#include "request/shared_rate_limiter_base.h"
 #include "request/start_rate_limiter_base.h"
 
 #include <vector>
@@ -50,8 +50,9 @@
   /// \return Whether the server accepts attempts now, apart from its slots.
   bool isAvailable(Time Now);
 
-  /// \return Expected wait for a slot, behind \p Planned requests that are
-  /// queued on this VM for the same server.
+  /// \return Expected wait for a slot and for the rate limit, behind \p Planned
+  /// requests that are queued on this VM for the same server. Requires
+  /// isAvailable().
   Duration getExpectedWait(unsigned Planned, Time Now) const;
 
   /// \return Estimated requests at the server, including those of other VMs.
@@ -81,12 +82,14 @@
   /// \return Attempts that became suspect since the last call.
   std::vector<FlowIndex> takeSuspects(Time Now);
 
-  /// \return Requests per second that the server accepts from all entry VMs
-  /// together, if it limits them.
-  std::optional<double> getRateLimit() const { return RateLimit_; }
+  /// \return Time until the server's rate limit allows a start behind
+  /// \p Planned others. Requires isAvailable().
+  Duration getRateWait(unsigned Planned, Time Now) const {
+    return RateLimiter_.getWait(Planned, Now).value_or(Duration(0));
+  }
 
-  /// \return Attempts of this VM within RecentStarts::Window.
-  unsigned getRecentStarts(Time Now) { return RecentStarts_.getCount(Now); }
+  /// \return Limiter of this VM's share of the server's request rate.
+  SharedRateLimiter &getRateLimiter() { return RateLimiter_; }
 
   /// Extends the cold phase until \p Until, and never shortens it.
   void extendColdPhase(Time Until);
@@ -112,8 +115,7 @@
   ObjectCacheModel ObjectCache_;  ///< Model of the server's object cache.
   Duration MeanServiceTime_ = milliseconds(150); ///< Smoothed service time.
   StartRateLimiter ColdStartLimiter_; ///< Limits starts while it is cold.
-  std::optional<double> RateLimit_;   ///< Limit that the server last named.
-  RecentStarts RecentStarts_;         ///< Attempts of this VM.
+  SharedRateLimiter RateLimiter_; ///< Limits starts at the server's request.
   double OtherVmLoad_ = 0;   ///< Requests of other VMs at the last load report.
   Time LoadReportedAt_;      ///< Time of the last load report.
   double Interference_ = 1;  ///< Interference in the last load report.
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -222,6 +222,7 @@
   Result.Server_ = &Server;
   Result.PreferenceRank_ = Where.Rank_;
   Result.Wait_ = Server.getExpectedWait(Planned, Now);
+  Result.RateWait_ = Server.getRateWait(Planned, Now);
   Result.Finish_ = Result.Wait_ + Config.RoundTrip_ +
                    scaleDuration(Work.get(Chance), Factor);
   Result.Cost_ = Result.Finish_;
@@ -265,6 +266,9 @@
   Candidate BestOtherRegion;     // Within the limit of moves to other regions.
   Candidate CheapestOtherRegion; // Regardless of the limit.
   Candidate FirstServer;
+  // Lowest cost if servers had no rate limits.
+  ServerState *Wanted = nullptr;
+  Duration WantedCost = Duration::max();
   for (const PreferredServer &Where : getPreferredServers(Request.Key_)) {
     ServerState *Server = Where.Server_;
     if (!canUse(Request, Server->getConfig()) || !Server->isAvailable(Now))
@@ -274,6 +278,10 @@
     auto Found = Planned.find(Server);
     Candidate Next = evaluateServer(
         Request, Where, Work, Found == Planned.end() ? 0 : Found->second, Now);
+    if (Duration Cost = Next.Cost_ - Next.RateWait_; Cost < WantedCost) {
+      Wanted = Server;
+      WantedCost = Cost;
+    }
     if (Request.Key_ != 0 && Where.Rank_ == 0 &&
         Server->getConfig().Proximity_ == Proximity::SameZone)
       FirstServer = Next;
@@ -285,6 +293,8 @@
         ShiftLimiter_.canSendTo(Server->getConfig().Region_, Now))
       BestOtherRegion = Next;
   }
+  if (Wanted && Wanted->getRateWait(0, Now) > Duration(0))
+    Wanted->getRateLimiter().recordShortage();
   // Without a server in this region the limit does not apply.
   if (!Best.Server_)
     Best = CheapestOtherRegion;
@@ -383,15 +393,50 @@
       [Now](const ServerState *Server) { return Server->isCold(Now); }));
 }
 
+bool ServiceBalancer::setRateLimit(const std::string &Server,
+                                   const NamedRateLimit &Named) {
+  auto Found = Servers_.find(Server);
+  if (Found == Servers_.end())
+    return false;
+  SharedRateLimiter &Limiter = Found->second->getRateLimiter();
+  std::optional<double> Before = Limiter.getLimit().PerSecond_;
+  Limiter.setLimit(Named);
+  return Limiter.getLimit().PerSecond_ != Before;
+}
+
 std::vector<RateUse> ServiceBalancer::getRateUse(Time Now) const {
   std::vector<RateUse> Result;
   for (ServerState *Server : Usable_)
-    if (std::optional<double> Limit = Server->getRateLimit())
-      Result.push_back(
-          {Server->getConfig().Id_, *Limit, Server->getRecentStarts(Now)});
+    if (SharedRateLimiter &Limiter = Server->getRateLimiter();
+        Limiter.isLimited())
+      Result.push_back({Server->getConfig().Id_, *Limiter.getLimit().PerSecond_,
+                        Limiter.getShare(), Limiter.getRecentStarts(Now)});
+  return Result;
+}
+
+std::vector<RateDemand> ServiceBalancer::takeRateDemands(Time Now) {
+  std::vector<RateDemand> Result;
+  for (ServerState *Server : Usable_)
+    if (SharedRateLimiter &Limiter = Server->getRateLimiter();
+        Limiter.takeReportDue()) {
+      const BackendServerConfig &Config = Server->getConfig();
+      Result.push_back({Config.Id_, Config.Zone_, Config.Region_,
+                        Limiter.getLimit(), Limiter.takeDemand(Now)});
+    }
   return Result;
 }
 
+void ServiceBalancer::setRateShare(const std::string &Server,
+                                   const NamedRateLimit &Named, double Share,
+                                   Time Now) {
+  auto Found = Servers_.find(Server);
+  if (Found == Servers_.end())
+    return;
+  SharedRateLimiter &Limiter = Found->second->getRateLimiter();
+  Limiter.setLimit(Named);
+  Limiter.setShare(Share, Now);
+}
+
 unsigned ServiceBalancer::getInFlight() const {
   unsigned Result = 0;
   for (const auto &[Id, Server] : Servers_)
--- a/src/request/service_balancer_base.h
+++ b/src/request/service_balancer_base.h
@@ -61,9 +61,22 @@
   /// \return Number of cold servers among those that accept requests.
   unsigned getColdServers(Time Now) const;
 
+  /// Applies a server's statement about its request rate.
+  /// \return Whether the limit differs from the known one.
+  bool setRateLimit(const std::string &Server, const NamedRateLimit &Named);
+
   /// \return Use of the servers that limit their request rate.
   std::vector<RateUse> getRateUse(Time Now) const;
 
+  /// \return Demands for the servers that limit their request rate, since the
+  /// previous call.
+  std::vector<RateDemand> takeRateDemands(Time Now);
+
+  /// Sets this VM's share of a server's request rate.
+  /// \param Named Limit that the share is part of; replaces an older one.
+  void setRateShare(const std::string &Server, const NamedRateLimit &Named,
+                    double Share, Time Now);
+
   const ServiceTimeHistory &getHistory() const { return History_; }
 
 private:
@@ -73,8 +86,9 @@
   /// A server considered for a request, with its cost.
   struct Candidate {
     ServerState *Server_ = nullptr; ///< Server, or null.
-    Duration Wait_{0};              ///< Predicted wait for a free slot.
-    Duration Finish_{0};            ///< Predicted time until the response.
+    Duration Wait_{0};     ///< Predicted wait for a slot and the rate limit.
+    Duration RateWait_{0}; ///< Predicted wait for the rate limit alone.
+    Duration Finish_{0};   ///< Predicted time until the response.
     /// Finish_ plus penalties; the lowest cost wins.
     Duration Cost_{0};
     unsigned PreferenceRank_ = 0; ///< Rank among the preferred servers.
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -97,6 +97,23 @@
   }
 }
 
+std::vector<RateDemand> RequestRouter::takeRateDemands() {
+  std::vector<RateDemand> Result;
+  for (auto &[Name, Pool] : Pools_)
+    for (RateDemand &Each : Pool->Balancer_.takeRateDemands(getNow()))
+      Result.push_back(std::move(Each));
+  return Result;
+}
+
+void RequestRouter::setRateShare(const std::string &Server,
+                                 const NamedRateLimit &Named, double Share) {
+  for (auto &[Name, Pool] : Pools_)
+    if (Pool->Servers_.contains(Server)) {
+      Pool->Balancer_.setRateShare(Server, Named, Share, getNow());
+      scheduleStep(*Pool);
+    }
+}
+
 void RequestRouter::logRateUse() {
   Time Now = getNow();
   for (auto &[Name, Pool] : Pools_)
@@ -105,6 +122,7 @@
                  {{"server", Use.Server_},
                   {"service", Name},
                   {"limit", Use.Limit_},
+                  {"share", Use.Share_},
                   {"starts", Use.Starts_},
                   {"windowMs", RecentStarts::Window}});
 }
--- a/src/steering/request_router_attempts.cpp
+++ b/src/steering/request_router_attempts.cpp
@@ -165,14 +165,17 @@
   Ended.Server_ = Attempt.Start_.Server_;
   Ended.Outcome_ = getVerdict(Outcome);
   Ended.Ran_ = Now - Attempt.SentAt_;
-  if (Result.Status_ == AttemptStatus::Answered) {
+  if (Result.Status_ == AttemptStatus::Answered)
     Ended.Load_ = Info.Load_;
-    // Only the server's own responses show that a limit has ended.
-    Ended.HasRateReport_ = Info.IsSigned_ || Info.RateLimit_;
-    Ended.RateLimit_ = Info.RateLimit_;
-  }
   ServicePool &Pool = *Flow.Pool_;
   Pool.Balancer_.endAttempt(Ended, Now);
+  // Only the server's own responses show that a limit has ended.
+  bool HasRateReport = Result.Status_ == AttemptStatus::Answered &&
+                       (Info.IsSigned_ || Info.RateLimit_);
+  if (HasRateReport &&
+      Pool.Balancer_.setRateLimit(Ended.Server_, {Info.RateLimit_, Now}) &&
+      OnRateLimit_)
+    OnRateLimit_();
   if (Info.ColdRemaining_ && *Info.ColdRemaining_ > Duration(0))
     Pool.Balancer_.extendColdPhase(Ended.Server_, Now + *Info.ColdRemaining_);
   auto Server = Pool.Servers_.find(Ended.Server_);
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -61,6 +61,24 @@
   /// Closes connections that were idle for too long to be reused.
   void closeIdleConnections() { Connections_.closeExpired(getNow()); }
 
+  /// \param Action Called when a server has named another limit on its request
+  /// rate than before.
+  void setOnRateLimit(std::function<void()> Action) {
+    OnRateLimit_ = std::move(Action);
+  }
+
+  /// \return Demands for the servers that limit their request rate, since the
+  /// previous call.
+  std::vector<RateDemand> takeRateDemands();
+
+  /// Sets this VM's share of a server's request rate.
+  /// \param Named Limit that the share is part of.
+  void setRateShare(const std::string &Server, const NamedRateLimit &Named,
+                    double Share);
+
+  /// \return Recent maximum of the number of entry VMs that may serve.
+  unsigned getVmCount() const { return Locator_.getVmCount(); }
+
   /// Logs this VM's use of servers that limit their request rate, which adds
   /// up over all VMs.
   void logRateUse();
@@ -121,6 +139,7 @@
   absl::flat_hash_map<uint64_t, std::unique_ptr<ClientFlow>>
       Flows_; ///< Requests in flight.
   std::function<void(const std::string &)> OnMisdirected_; ///< See the setter.
+  std::function<void()> OnRateLimit_;                      ///< See the setter.
   Time ShutdownDeadline_ = Time::max(); ///< Time at which the process exits.
   uint64_t NextFlow_ = 1;               ///< Index of the next flow.
 };
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -63,6 +63,7 @@
       Router_(Loop_, Settings_, Log_, Metrics_),
       Peers_(Loop_, makeSelf(Incarnation), Settings_.HeartbeatPeriod_, Log_,
              [this] { onMembersChanged(); }),
+      RateShares_(Loop_, Router_, Peers_, Log_),
       ClientPort_(
           Loop_,
           [this](const IngressExchangePtr &E) { Router_.handleRequest(E); }),
@@ -75,8 +76,12 @@
       TickTimer_(Loop_), AnnounceTimer_(Loop_),
       Signals_(Loop_, SIGTERM, SIGINT, SIGHUP) {
   Log_.setMaxLinesPerSecond(Settings_.LogLinesPerSecond_);
-  Peers_.setRequestHandler(
-      [this](const IngressExchangePtr &E) { View_.handleRelayRequest(E); });
+  Peers_.setRequestHandler([this](const IngressExchangePtr &E) {
+    if (E->getMessage().target() == RateShareExchange::Path)
+      RateShares_.handleReport(E);
+    else
+      View_.handleRelayRequest(E);
+  });
   Router_.setOnMisdirected([this](const std::string &Server) {
     View_.recordLeaving(Server);
     updateRouterServers();
@@ -122,6 +127,7 @@
               {"incarnation", Peers_.getSelf().Incarnation_},
               {"http", ClientPort_.getAddress()}});
   View_.start();
+  RateShares_.start();
   announce();
   tick();
   waitForSignal();
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -8,6 +8,7 @@
 #include "observe/metrics_base.h"
 #include "platform/store_client_base.h"
 #include "steering/peer_exchange_base.h"
+#include "steering/rate_share_exchange_base.h"
 #include "steering/request_router_base.h"
 #include "steering/store_view_base.h"
 
@@ -57,22 +58,23 @@
   void handleLookup(const IngressExchangePtr &Exchange);
   void handleMetrics(const IngressExchangePtr &Exchange);
 
-  Settings Settings_;                   ///< Settings in force.
-  SettingsFile SettingsFile_;           ///< File that is checked for changes.
-  Time NextSettingsCheck_;              ///< Time of the next check of the file.
-  Time NextRateLog_; ///< Time of the next log of limited servers.
-  boost::asio::io_context Loop_;        ///< Event loop.
-  EventLog Log_;                        ///< Event log.
-  Metrics Metrics_;                     ///< Metrics of the daemon.
-  platform::StoreClient Store_;         ///< Calls to the store.
-  StoreView View_;                      ///< State read from the store.
-  RequestRouter Router_;                ///< Routes client requests.
-  PeerExchange Peers_;                  ///< Heartbeats with other entry VMs.
-  IngressServer ClientPort_;            ///< Port for clients.
-  IngressServer ReadinessPort_;         ///< Port for readiness checks.
-  IngressServer LookupPort_;            ///< Port for look-ups.
-  IngressServer MetricsPort_;           ///< Port for metrics.
-  boost::asio::steady_timer TickTimer_; ///< Timer of periodic work.
+  Settings Settings_;            ///< Settings in force.
+  SettingsFile SettingsFile_;    ///< File that is checked for changes.
+  Time NextSettingsCheck_;       ///< Time of the next check of the file.
+  Time NextRateLog_;             ///< Time of the next log of limited servers.
+  boost::asio::io_context Loop_; ///< Event loop.
+  EventLog Log_;                 ///< Event log.
+  Metrics Metrics_;              ///< Metrics of the daemon.
+  platform::StoreClient Store_;  ///< Calls to the store.
+  StoreView View_;               ///< State read from the store.
+  RequestRouter Router_;         ///< Routes client requests.
+  PeerExchange Peers_;           ///< Heartbeats with other entry VMs.
+  RateShareExchange RateShares_; ///< Shares of servers' request rates.
+  IngressServer ClientPort_;     ///< Port for clients.
+  IngressServer ReadinessPort_;  ///< Port for readiness checks.
+  IngressServer LookupPort_;     ///< Port for look-ups.
+  IngressServer MetricsPort_;    ///< Port for metrics.
+  boost::asio::steady_timer TickTimer_;     ///< Timer of periodic work.
   boost::asio::steady_timer AnnounceTimer_; ///< Timer of the next registration.
   boost::asio::signal_set Signals_;         ///< Shutdown and reload.
   uint64_t AppliedRegistryVersion_ = 0; ///< Last version passed to the router.
--- a/test/process/rate_limit_test.cpp
+++ b/test/process/rate_limit_test.cpp
@@ -1,7 +1,7 @@
 /// \file rate_limit_test.cpp Servers that limit their request rate.
 #include "standin/route_client_base.h"
 #include "standin/routed_fleet_base.h"
-#include "test/process/rate_check_base.h"
+#include "test/support/rate_check_base.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/process/rate_check_base.h
+++ b/test/support/rate_check_base.h
@@ -1,6 +1,6 @@
 /// \file rate_check_base.h The platform's bound on requests at a server.
-#ifndef CRANBERRY_TEST_PROCESS_RATE_CHECK_BASE_H
-#define CRANBERRY_TEST_PROCESS_RATE_CHECK_BASE_H
+#ifndef CRANBERRY_TEST_SUPPORT_RATE_CHECK_BASE_H
+#define CRANBERRY_TEST_SUPPORT_RATE_CHECK_BASE_H
 
 #include "core/time_type.h"
 
