Fix: [Request] Starts at warm servers don't accumulate in memory

Callers saw nothing yet: an entry VM kept the time of each attempt at a server that isn't cold for as long as the server lived, 8 bytes each.

Cause: old starts were only removed when a start at a cold server was asked for. Class of fault: a cleanup that depends on a rare event. Now recording a start removes them as well.

The test fails without the removal (10,000 kept) and passes with it.

--- a/src/request/start_rate_limiter_base.h
+++ b/src/request/start_rate_limiter_base.h
@@ -18,14 +18,24 @@
 
   /// \return Whether one more start keeps the window at \p Limit or less.
   bool canStart(double Limit, Time Now) {
-    while (!Starts_.empty() && Starts_.front() + Window <= Now)
-      Starts_.pop_front();
+    removeExpired(Now);
     return static_cast<double>(Starts_.size()) + 1 <= Limit;
   }
 
-  void recordStart(Time Now) { Starts_.push_back(Now); }
+  void recordStart(Time Now) {
+    removeExpired(Now);
+    Starts_.push_back(Now);
+  }
+
+  /// \return Number of starts that are kept.
+  size_t getKeptCount() const { return Starts_.size(); }
 
 private:
+  void removeExpired(Time Now) {
+    while (!Starts_.empty() && Starts_.front() + Window <= Now)
+      Starts_.pop_front();
+  }
+
   std::deque<Time> Starts_; ///< Starts within the window.
 };
 
--- a/test/unit/steering_decision_test.cpp
+++ b/test/unit/steering_decision_test.cpp
@@ -91,6 +91,13 @@
     CHECK(Starts[I + 16] - Starts[I] >= seconds(1));
 }
 
+TEST_CASE("a warm server's starts don't accumulate in memory") {
+  StartRateLimiter Limiter;
+  for (int I = 0; I < 10000; ++I)
+    Limiter.recordStart(Time(milliseconds(10 * I)));
+  CHECK(Limiter.getKeptCount() <= StartRateLimiter::Window / milliseconds(10));
+}
+
 TEST_CASE("repeats of all VMs stay within the budget in any window") {
   constexpr unsigned Vms = 7;
   const RepeatLimits Limits{0.2, 58, seconds(10)};
