Feature: [Steering] Log the store's era and ignored configurations

The logs couldn't tell why a confirmed configuration isn't in force. store-list lines give the era of the store's history (header Store-Era), config-ignored lines the version and revision that weren't applied and the active ones. No decision changes.

--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -3,6 +3,7 @@
 
 #include "platform/wire_names.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include <utility>
@@ -42,6 +43,14 @@
   }
 }
 
+std::optional<uint64_t> decodeEra(const HttpResult &Result) {
+  for (const auto &[Name, Value] : Result.Headers_)
+    if (uint64_t Era = 0;
+        Name == header::StoreEra && absl::SimpleAtoi(Value, &Era))
+      return Era;
+  return std::nullopt;
+}
+
 json makeObject(const std::string &Name, const json &Body) {
   return {{"metadata", {{"name", Name}, {"finalizers", json::array()}}},
           {"specification", Body}};
@@ -105,11 +114,12 @@
   Call.MaxIdleTime_ = MaxIdleTime;
   Client_.startCall(std::move(Call), [End = std::move(End)](HttpResult Result) {
     if (Result.Code_ != ResultCode::Ok) {
-      End({StoreStatus::NoResponse, "", std::move(Result.ErrorText_)});
+      End({StoreStatus::NoResponse, "", std::move(Result.ErrorText_), {}});
       return;
     }
     auto Code = static_cast<unsigned>(Result.Status_);
-    End({getStatus(Code), std::move(Result.Body_), std::to_string(Code)});
+    std::optional<uint64_t> Era = decodeEra(Result);
+    End({getStatus(Code), std::move(Result.Body_), std::to_string(Code), Era});
   });
 }
 
--- a/src/platform/store_client_base.h
+++ b/src/platform/store_client_base.h
@@ -16,6 +16,8 @@
   StoreStatus Status_ = StoreStatus::NoResponse; ///< How the call ended.
   std::string Body_;      ///< Response body, for any status.
   std::string ErrorText_; ///< Readable reason, if not Ok.
+  /// Number of the store's history, if it responded with one.
+  std::optional<uint64_t> Era_;
 };
 
 /// Timeouts of calls.
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -124,7 +124,8 @@
   Log_.write(getNow(), "store-list",
              {{"kind", Options_.Kind_},
               {"objects", static_cast<uint64_t>(Objects.size())},
-              {"revision", Revision_}});
+              {"revision", Revision_},
+              {"era", Reply.Era_.value_or(0)}});
   Handlers_.OnList_(Objects);
   if (Handlers_.OnSuccess_)
     Handlers_.OnSuccess_();
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -205,10 +205,19 @@
 void StoreView::applyConfig(const StoreObject &Object) {
   if (Object.Name_ != platform::MainConfigName)
     return;
+  Reason Why;
   // Responses may arrive out of order.
-  if (Config_ && Object.Revision_ <= Config_->Revision_)
+  if (Config_ && Object.Revision_ <= Config_->Revision_) {
+    if (std::optional<RoutingConfig> Ignored =
+            platform::decodeRouting(Object, Why);
+        Ignored && Ignored->Version_ != Config_->Version_)
+      Log_.write(getNow(), "config-ignored",
+                 {{"version", Ignored->Version_},
+                  {"revision", Object.Revision_},
+                  {"activeVersion", Config_->Version_},
+                  {"activeRevision", Config_->Revision_}});
     return;
-  Reason Why;
+  }
   std::optional<RoutingConfig> Decoded = platform::decodeRouting(Object, Why);
   if (!Decoded) {
     Log_.write(getNow(), "config-refused",
