Feature: [Test] Entry VMs behind a store that is restored from a copy

The stand-in of the store can go back to a copy: its revisions are given out again and its era rises.

--- a/standin/object_store.cpp
+++ b/standin/object_store.cpp
@@ -2,6 +2,7 @@
 #include "standin/object_store_base.h"
 
 #include "net/http_message_func.h"
+#include "platform/wire_names.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
@@ -99,10 +100,32 @@
     CompactedRevision_ = Revision_;
     History_.clear();
     AreWatchEventsSuppressed_ = false;
-    std::list<Watch> Cut;
-    Cut.swap(Watches_);
-    for (const Watch &Each : Cut)
-      reply(Each.Exchange_, Unavailable, json::object());
+    cutWatches();
+  });
+}
+
+void ObjectStore::cutWatches() {
+  std::list<Watch> Cut;
+  Cut.swap(Watches_);
+  for (const Watch &Each : Cut)
+    reply(Each.Exchange_, Unavailable, json::object());
+}
+
+void ObjectStore::saveCopy() {
+  Thread_.call([&] {
+    CopiedKinds_ = Kinds_;
+    CopiedRevision_ = Revision_;
+  });
+}
+
+void ObjectStore::restoreCopy() {
+  Thread_.call([&] {
+    Kinds_ = CopiedKinds_;
+    Revision_ = CopiedRevision_;
+    CompactedRevision_ = Revision_;
+    History_.clear();
+    ++Era_;
+    cutWatches();
   });
 }
 
@@ -115,8 +138,11 @@
 }
 
 void ObjectStore::reply(const IngressExchangePtr &Exchange, unsigned Status,
-                        const json &Body) {
-  Exchange->respond(makeResponse(Status, Body.dump(), "application/json"));
+                        const json &Body) const {
+  ResponseMessage Response =
+      makeResponse(Status, Body.dump(), "application/json");
+  Response.set(platform::header::StoreEra, std::to_string(Era_));
+  Exchange->respond(Response);
 }
 
 json ObjectStore::toJson(const std::string &Name, const Object &Value) const {
@@ -273,6 +299,10 @@
   for (const Event &Each : History_)
     if (Each.Kind_ == Waiting.Kind_ && Each.Revision_ > Waiting.After_)
       Events.push_back(Each.Json_);
+  if (Waiting.After_ > Revision_) {
+    reply(Waiting.Exchange_, Gone, json::object());
+    return true;
+  }
   bool IsHistoryCompacted = Waiting.After_ < CompactedRevision_;
   if (!Events.empty() && IsHistoryCompacted) {
     reply(Waiting.Exchange_, Gone, json::object());
--- a/standin/object_store_base.h
+++ b/standin/object_store_base.h
@@ -24,7 +24,7 @@
 };
 
 /// Object store with a single revision counter, paged lists, watches and
-/// conditional writes. It keeps its history until compact().
+/// conditional writes. It keeps its history until compact() or restoreCopy().
 class ObjectStore {
 public:
   /// \param Address "address:port"; port 0 lets the kernel pick.
@@ -46,6 +46,13 @@
   /// Discards the history and fails pending watches with status 503.
   void compact();
 
+  /// Copies all contents, for restoreCopy().
+  void saveCopy();
+
+  /// Goes back to the last copy: later changes are lost, their revisions are
+  /// given out again, and the era rises by one. Watches are cut.
+  void restoreCopy();
+
   /// Withholds all events from watches until compact().
   void suppressWatchEvents();
 
@@ -90,10 +97,14 @@
   bool answerWatch(const Watch &Waiting);
   void answerWatches();
   void tick();
-  static void reply(const IngressExchangePtr &Exchange, unsigned Status,
-                    const nlohmann::json &Body);
-
-  std::map<std::string, ObjectMap> Kinds_; ///< Objects by kind and name.
+  void cutWatches();
+  void reply(const IngressExchangePtr &Exchange, unsigned Status,
+             const nlohmann::json &Body) const;
+
+  std::map<std::string, ObjectMap> Kinds_;       ///< Objects by kind and name.
+  std::map<std::string, ObjectMap> CopiedKinds_; ///< Objects of the copy.
+  uint64_t CopiedRevision_ = 1;                  ///< Revision of the copy.
+  uint64_t Era_ = 1; ///< Number of the history, counted by restoreCopy().
   std::vector<Event> History_;     ///< Changes after CompactedRevision_.
   uint64_t Revision_ = 1;          ///< Revision of the last change.
   uint64_t CompactedRevision_ = 0; ///< Last revision discarded by compact().
--- a/standin/routed_fleet.cpp
+++ b/standin/routed_fleet.cpp
@@ -124,8 +124,8 @@
 }
 
 void RoutedFleet::registerServer(const FleetServer &Server, bool IsDraining) {
-  json Entry =
-      Server.Server_->getEntry(Server.Service_, Server.Zone_, IsDraining);
+  json Entry = Server.Server_->getEntry(Server.Service_, Server.Zone_,
+                                        IsDraining, ++Sequence_);
   Entry["address"] = Server.Link_->getAddress();
   Store_.put("servers", Server.Server_->getId(), Entry);
 }
--- a/standin/routed_fleet_base.h
+++ b/standin/routed_fleet_base.h
@@ -90,7 +90,8 @@
   ObjectStore Store_;                ///< Object store stand-in.
   std::vector<FleetServer> Servers_; ///< Backend servers.
   std::vector<std::unique_ptr<FleetVm>> Vms_; ///< Entry VMs by index.
-  unsigned Version_ = 0; ///< Last published configuration version.
+  unsigned Sequence_ = 0; ///< Number of the last server entry.
+  unsigned Version_ = 0;  ///< Last published configuration version.
 };
 
 /// \return Route object for configure().
--- a/standin/routed_server.cpp
+++ b/standin/routed_server.cpp
@@ -44,8 +44,8 @@
 }
 
 nlohmann::json RoutedServer::getEntry(const std::string &Service,
-                                      const std::string &Zone,
-                                      bool IsDraining) const {
+                                      const std::string &Zone, bool IsDraining,
+                                      unsigned Sequence) const {
   return {{"service", Service},
           {"address", Address_},
           {"zone", Zone},
@@ -53,7 +53,7 @@
           {"slots", Slots_},
           {"state", IsDraining ? "draining" : "ready"},
           {"coldRemaining", "0ms"},
-          {"sequence", 1},
+          {"sequence", Sequence},
           {"born", 1}};
 }
 
--- a/standin/routed_server_base.h
+++ b/standin/routed_server_base.h
@@ -47,8 +47,9 @@
   const std::string &getId() const { return Id_; }
 
   /// \return Entry of this server for the object store.
+  /// \param Sequence Number of the entry; increases with each one.
   nlohmann::json getEntry(const std::string &Service, const std::string &Zone,
-                          bool IsDraining = false) const;
+                          bool IsDraining = false, unsigned Sequence = 1) const;
 
   /// \name Fault injection and counters; safe to call from any thread.
   /// @{
--- a/test/process/rate_limit_test.cpp
+++ b/test/process/rate_limit_test.cpp
@@ -1,40 +1,28 @@
 /// \file rate_limit_test.cpp Servers that limit their request rate.
-#include "standin/route_client_base.h"
-#include "standin/routed_fleet_base.h"
 #include "test/support/rate_check_base.h"
+#include "test/support/steering_fixture_base.h"
 
 #include <catch2/catch.hpp>
 
 #include <atomic>
-#include <cstdlib>
-#include <filesystem>
 #include <thread>
 
 using namespace cranberry;
 using namespace cranberry::standin;
 using namespace cranberry::test;
-using nlohmann::json;
 
 namespace {
 
-constexpr Duration WaitTimeout = seconds(20);
 constexpr double Limit = 5; ///< Requests per second that servers name.
 
 /// Three entry VMs of one zone and one of another region, with clients that
 /// send without a pause.
-class Fixture {
+class Fixture : public SteeringFixture {
 public:
   Fixture()
-      : Directory_(std::filesystem::temp_directory_path() /
-                   ("cranberry-rate-" + std::to_string(getpid()))),
-        Fleet_({{"north-a", "north-a", "north-a", "south-a"}, {"one"}, 2, 8},
-               std::string(PROGRAM_DIR) + "/cranberryd", Directory_.string()) {
-    Fleet_.configure(
-        json::array({makeRoute("r-read", "/read/", "one", true, seconds(1))}));
-    for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
-      Fleet_.start(I);
-    for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
-      REQUIRE(Fleet_.waitReady(I, WaitTimeout));
+      : SteeringFixture(
+            {{"north-a", "north-a", "north-a", "south-a"}, {"one"}, 2, 8}) {
+    startAll();
     for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
       Clients_.emplace_back([this, I] { runClient(I); });
   }
@@ -43,7 +31,6 @@
     IsStopping_ = true;
     for (std::thread &Each : Clients_)
       Each.join();
-    std::filesystem::remove_all(Directory_);
   }
 
   /// Sets the limit of both servers in zone north-a.
@@ -74,8 +61,6 @@
     }
   }
 
-  std::filesystem::path Directory_;      ///< Holds the settings and logs.
-  RoutedFleet Fleet_;                    ///< Fleet under test.
   std::atomic<bool> IsStopping_ = false; ///< Ends the clients.
   std::vector<std::thread> Clients_;     ///< One client for each entry VM.
 };
