Fix: [Steering] A change confirmed by a restored store takes effect

Servers that had left, and zones that were evacuated, got requests again until they were written anew.

Cause: the store comes back from a copy that is some seconds old and gives revisions out again. The VMs compared them across the restore: a configuration with revision 50 counted as known, since another one had had revision 50. Class of fault: positions of two histories are compared as if they were of one. The same cause was in each place that compares revisions: configuration, follower, the list of a relay, the relay's cache and its waiting watches; and, without revisions, in the servers and evacuations, where the copy's older state replaced a newer one.

Now a position is the store's era and a revision. A follower that sees another era lists anew, drops older eras, and tells the others, which list anew as well; a relay passes the era on and clears its cache. Configurations are ordered by the operator's version, which a restore doesn't take back. Entries of servers are ordered by start and sequence: after a rollback, an entry that is older than what was known is ignored, and one that the copy lacks is kept for the grace period. The VM registers itself again.

--- a/src/platform/decode.cpp
+++ b/src/platform/decode.cpp
@@ -303,6 +303,10 @@
                absl::StrCat(std::chrono::duration<double>(Wait).count()));
 }
 
+void setEra(ResponseMessage &Response, StoreEra Era) {
+  Response.set(header::Era, std::to_string(Era));
+}
+
 std::optional<RoutingConfig> decodeRouting(const StoreObject &Object,
                                            Reason &Why) {
   FieldReader Fields(Object.Body_, Why);
@@ -357,6 +361,8 @@
     Result.ColdRemaining_ = Fields.getDuration("coldRemaining");
   if (Fields.has("born"))
     Result.StartTimeMs_ = static_cast<int64_t>(Fields.getNumber("born"));
+  if (Fields.has("sequence"))
+    Result.Sequence_ = static_cast<int64_t>(Fields.getNumber("sequence"));
   if (Result.Slots_ == 0)
     Fields.reportError("slots", "zero");
   if (!Fields.isValid())
--- a/src/platform/decode_func.h
+++ b/src/platform/decode_func.h
@@ -63,6 +63,9 @@
 /// \param Wait Time after which the client may retry.
 void setRetryAfter(ResponseMessage &Response, Duration Wait);
 
+/// Sets the era of a response that relays objects of the store.
+void setEra(ResponseMessage &Response, StoreEra Era);
+
 /// Decodes the routing configuration.
 /// \param[out] Why Invalid field and reason, if there is no result.
 std::optional<RoutingConfig> decodeRouting(const StoreObject &Object,
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -43,10 +43,9 @@
   }
 }
 
-std::optional<uint64_t> decodeEra(const HttpResult &Result) {
+std::optional<StoreEra> decodeEra(const HttpResult &Result) {
   for (const auto &[Name, Value] : Result.Headers_)
-    if (uint64_t Era = 0;
-        Name == header::StoreEra && absl::SimpleAtoi(Value, &Era))
+    if (StoreEra Era = 0; Name == header::Era && absl::SimpleAtoi(Value, &Era))
       return Era;
   return std::nullopt;
 }
@@ -118,7 +117,7 @@
       return;
     }
     auto Code = static_cast<unsigned>(Result.Status_);
-    std::optional<uint64_t> Era = decodeEra(Result);
+    std::optional<StoreEra> Era = decodeEra(Result);
     End({getStatus(Code), std::move(Result.Body_), std::to_string(Code), Era});
   });
 }
--- a/src/platform/store_client_base.h
+++ b/src/platform/store_client_base.h
@@ -14,10 +14,9 @@
 /// Result of a call.
 struct StoreResponse {
   StoreStatus Status_ = StoreStatus::NoResponse; ///< How the call ended.
-  std::string Body_;      ///< Response body, for any status.
-  std::string ErrorText_; ///< Readable reason, if not Ok.
-  /// Number of the store's history, if it responded with one.
-  std::optional<uint64_t> Era_;
+  std::string Body_;            ///< Response body, for any status.
+  std::string ErrorText_;       ///< Readable reason, if not Ok.
+  std::optional<StoreEra> Era_; ///< Era of the response, if known.
 };
 
 /// Timeouts of calls.
--- a/src/platform/store_type.h
+++ b/src/platform/store_type.h
@@ -13,6 +13,11 @@
 
 namespace cranberry::platform {
 
+/// Number of the store's history. Each time that the store is restored from an
+/// older copy it starts a new era, in which it assigns revisions again that
+/// other changes had before. 0 precedes the first response.
+using StoreEra = uint64_t;
+
 /// An object of the store.
 struct StoreObject {
   std::string Name_;      ///< Name, unique within its kind.
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -18,7 +18,7 @@
 inline constexpr const char *RateLimit = "Server-Limit";
 /// Set by the store: increases each time that it is restored from a copy.
 /// Lower case, as the HTTP client reports names that way.
-inline constexpr const char *StoreEra = "store-era";
+inline constexpr const char *Era = "store-era";
 inline constexpr const char *NotExecuted = "X-Cranberrypost-Not-Executed";
 inline constexpr const char *Instance = "X-Cranberrypost-Instance-Id";
 inline constexpr const char *ColdRemaining =
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -109,6 +109,10 @@
   };
   Result.OnServers_ = [this] { updateRouterServers(); };
   Result.OnFailure_ = [this] { Router_.recordFailure(); };
+  Result.OnStoreRolledBack_ = [this] {
+    if (!IsStopping_)
+      announce();
+  };
   Result.OnEntryVm_ = [this](const std::string &Peer) { Peers_.addSeed(Peer); };
   return Result;
 }
--- a/src/steering/store_cache.cpp
+++ b/src/steering/store_cache.cpp
@@ -32,6 +32,13 @@
   ++RemovedCount_;
 }
 
+void StoreCache::startEra(platform::StoreEra Era) {
+  if (Era == Era_)
+    return;
+  *this = StoreCache();
+  Era_ = Era;
+}
+
 void StoreCache::replaceAll(const std::vector<StoreObject> &Objects,
                             Revision Upto) {
   if (Revision_ == 0)
--- a/src/steering/store_cache_base.h
+++ b/src/steering/store_cache_base.h
@@ -16,6 +16,12 @@
 /// state.
 class StoreCache {
 public:
+  /// Clears the cache if the store was restored. Revisions of different eras
+  /// can't be compared.
+  void startEra(platform::StoreEra Era);
+
+  platform::StoreEra getEra() const { return Era_; }
+
   /// Replaces the content by a complete list.
   /// \param Upto Store revision of the list.
   void replaceAll(const std::vector<platform::StoreObject> &Objects,
@@ -47,6 +53,7 @@
 
   std::map<std::string, Entry> Entries_; ///< Includes removed ones.
   size_t RemovedCount_ = 0;              ///< Number of removed objects.
+  platform::StoreEra Era_ = 0;           ///< Era of all revisions.
   Revision Revision_ = 0;     ///< Revision up to which changes are known.
   Revision HistoryStart_ = 0; ///< Revision from which removals are known.
 };
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 
 using cranberry::platform::StoreChange;
+using cranberry::platform::StoreEra;
 using cranberry::platform::StoreResponse;
 using cranberry::platform::StoreStatus;
 
@@ -99,13 +100,18 @@
     handleFailure(StoreStatus::Malformed, Why.Field_ + " " + Why.Message_);
     return;
   }
-  if (IsCallToRelay_ && Page->Revision_ < Revision_) {
+  StoreEra Era = Reply.Era_.value_or(Era_);
+  bool IsFirst = ListedObjects_.empty();
+  bool IsOlder = Era < Era_ ||
+                 (IsCallToRelay_ && Era == Era_ && Page->Revision_ < Revision_);
+  if (IsOlder || (!IsFirst && Era != ListEra_)) {
     ListedObjects_.clear();
     handleFailure(StoreStatus::Malformed,
-                  "list of the relay is older than the known revision");
+                  IsOlder ? "list is older than the known revision"
+                          : "store was restored while it was listed");
     return;
   }
-  bool IsFirst = ListedObjects_.empty();
+  ListEra_ = Era;
   // The watch starts at the first page's revision, so that it includes changes
   // made between two pages.
   Revision FirstRevision = IsFirst ? Page->Revision_ : Revision_;
@@ -117,6 +123,7 @@
     return;
   }
   recordSuccess();
+  takeEra();
   IsListed_ = true;
   std::vector<platform::StoreObject> Objects;
   Objects.swap(ListedObjects_);
@@ -125,13 +132,26 @@
              {{"kind", Options_.Kind_},
               {"objects", static_cast<uint64_t>(Objects.size())},
               {"revision", Revision_},
-              {"era", Reply.Era_.value_or(0)}});
+              {"era", Era_}});
   Handlers_.OnList_(Objects);
   if (Handlers_.OnSuccess_)
     Handlers_.OnSuccess_();
   requestWatch();
 }
 
+void StoreFollower::takeEra() {
+  bool IsNew = Era_ != 0 && ListEra_ != Era_;
+  Era_ = ListEra_;
+  Cache_.startEra(Era_);
+  if (!IsNew)
+    return;
+  Log_.write(
+      getNow(), "store-era",
+      {{"kind", Options_.Kind_}, {"era", Era_}, {"revision", Revision_}});
+  if (Handlers_.OnNewEra_)
+    Handlers_.OnNewEra_();
+}
+
 void StoreFollower::requestWatch() {
   LastWatchStart_ = getNow();
   selectClient().watch(Options_.Kind_, Revision_,
@@ -140,7 +160,9 @@
 }
 
 void StoreFollower::handleChanges(const StoreResponse &Reply) {
-  if (Reply.Status_ == StoreStatus::HistoryGone) {
+  bool IsOtherEra =
+      Reply.Status_ == StoreStatus::Ok && Reply.Era_ && *Reply.Era_ != Era_;
+  if (Reply.Status_ == StoreStatus::HistoryGone || IsOtherEra) {
     Log_.write(getNow(), "store-history-gone",
                {{"kind", Options_.Kind_}, {"revision", Revision_}});
     recordSuccess();
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -36,6 +36,8 @@
   std::function<void()> OnUnavailable_;
   /// Called when a call succeeds after one that failed.
   std::function<void()> OnRecovered_;
+  /// Called before OnList_ when the list is of a later era than before.
+  std::function<void()> OnNewEra_;
   /// Called after each successful list or watch.
   std::function<void()> OnSuccess_;
   /// Called with the reason when a call to the relay fails, see setRelay().
@@ -75,15 +77,19 @@
   /// \return Time since the last successful call.
   Duration getAge(Time Now) const { return Now - LastSuccess_; }
 
-  /// \return Revision up to which changes are known.
+  /// \return Revision up to which changes are known, within getEra().
   Revision getRevision() const { return Revision_; }
 
+  /// \return Era of the store that was last listed; 0 if none.
+  platform::StoreEra getEra() const { return Era_; }
+
 private:
   void requestList();
   void handlePage(const platform::StoreResponse &Reply);
   void requestWatch();
   platform::StoreClient &selectClient();
   void handleChanges(const platform::StoreResponse &Reply);
+  void takeEra();
   void handleFailure(platform::StoreStatus Status, const std::string &Text);
   void recordSuccess();
   platform::StoreResponseHandler makeResponseHandler(
@@ -99,8 +105,10 @@
   EventLog &Log_;              ///< Event log.
   boost::asio::steady_timer Timer_; ///< Timer of the next call.
   std::vector<platform::StoreObject>
-      ListedObjects_;       ///< Objects of a partial list.
-  Revision Revision_ = 0;   ///< Revision up to which changes are known.
+      ListedObjects_;              ///< Objects of a partial list.
+  platform::StoreEra Era_ = 0;     ///< Era of the last list.
+  platform::StoreEra ListEra_ = 0; ///< Era of ListedObjects_.
+  Revision Revision_ = 0;          ///< Revision up to which changes are known.
   uint64_t Generation_ = 0; ///< Responses to calls of earlier generations are
                             ///< ignored.
   Time LastSuccess_;        ///< Time of the last successful call.
--- a/src/steering/store_relay.cpp
+++ b/src/steering/store_relay.cpp
@@ -43,8 +43,9 @@
     return;
   }
   auto Waiting = std::make_shared<PendingWatch>(
-      PendingWatch{Exchange, Question->Kind_, *Question->WatchFrom_,
-                   boost::asio::steady_timer(Loop_)});
+      PendingWatch{Exchange, Question->Kind_,
+                   Followers_.at(Question->Kind_)->getCache().getEra(),
+                   *Question->WatchFrom_, boost::asio::steady_timer(Loop_)});
   if (tryRespondToWatch(*Waiting, false))
     return;
   PendingWatches_.push_back(Waiting);
@@ -59,29 +60,34 @@
   });
 }
 
+void StoreRelay::respond(const IngressExchangePtr &Exchange,
+                         const StoreCache &Cache, unsigned Status,
+                         const std::string &Body) {
+  ResponseMessage Response = makeResponse(Status, Body, "application/json");
+  platform::setEra(Response, Cache.getEra());
+  Exchange->respond(Response);
+}
+
 void StoreRelay::sendPage(const IngressExchangePtr &Exchange,
                           const std::string &Kind) {
-  platform::StorePage Page = Followers_.at(Kind)->getCache().getPage();
-  Exchange->respond(
-      makeResponse(Ok, platform::encodePage(Page), "application/json"));
+  const StoreCache &Cache = Followers_.at(Kind)->getCache();
+  respond(Exchange, Cache, Ok, platform::encodePage(Cache.getPage()));
 }
 
 bool StoreRelay::tryRespondToWatch(const PendingWatch &Waiting, bool IsOver) {
   if (Waiting.Exchange_->hasResponse())
     return true; // The caller has closed the connection.
+  const StoreCache &Cache = Followers_.at(Waiting.Kind_)->getCache();
   std::optional<platform::StoreChanges> Changes =
-      Followers_.at(Waiting.Kind_)
-          ->getCache()
-          .getChangesSince(Waiting.KnownRevision_);
-  if (!Changes) {
-    Waiting.Exchange_->respond(makeResponse(HistoryGone, ""));
+      Cache.getChangesSince(Waiting.KnownRevision_);
+  if (!Changes || Cache.getEra() != Waiting.Era_) {
+    respond(Waiting.Exchange_, Cache, HistoryGone, "");
     return true;
   }
   if (Changes->Changes_.empty() && !IsOver)
     return false;
   if (IsFresh_())
-    Waiting.Exchange_->respond(makeResponse(
-        Ok, platform::encodeChanges(*Changes), "application/json"));
+    respond(Waiting.Exchange_, Cache, Ok, platform::encodeChanges(*Changes));
   else
     Waiting.Exchange_->respond(makeResponse(Unavailable, ""));
   return true;
--- a/src/steering/store_relay_base.h
+++ b/src/steering/store_relay_base.h
@@ -41,6 +41,7 @@
   struct PendingWatch {
     IngressExchangePtr Exchange_;         ///< Connection for the response.
     std::string Kind_;                    ///< Kind of objects.
+    platform::StoreEra Era_ = 0;          ///< Era at the start of the watch.
     Revision KnownRevision_ = 0;          ///< Revision that the caller knows.
     boost::asio::steady_timer WaitTimer_; ///< Expires at the end of the wait.
   };
@@ -48,6 +49,9 @@
   /// response.
   using WatchPtr = std::shared_ptr<PendingWatch>;
 
+  static void respond(const IngressExchangePtr &Exchange,
+                      const StoreCache &Cache, unsigned Status,
+                      const std::string &Body);
   void sendPage(const IngressExchangePtr &Exchange, const std::string &Kind);
   /// Responds to a watch if there are changes or its wait has ended.
   /// \return Whether the watch is complete.
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -132,6 +132,8 @@
 void StoreView::tick() {
   uint64_t Before = Registry_.getVersion();
   Registry_.removeExpired(getNow());
+  if (Evacuations_.removeUnconfirmed(getNow()))
+    applyEvacuations();
   if (Registry_.getVersion() != Before)
     Handlers_.OnServers_();
 }
@@ -147,6 +149,7 @@
     if (!Change.IsRemoved_)
       applyConfig(Change.Object_);
   };
+  Result.OnNewEra_ = [this] { onNewEra(ConfigFollower_); };
   return Result;
 }
 
@@ -160,6 +163,10 @@
     applyServerChange(Change);
   };
   Result.OnUnavailable_ = [this] { Registry_.onStoreLost(); };
+  Result.OnNewEra_ = [this] {
+    Registry_.onStoreRolledBack(getNow());
+    onNewEra(ServerFollower_);
+  };
   Result.OnRecovered_ = [this] {
     Registry_.onStoreRestored(getNow());
     // The others may wait on connections that were lost unnoticed.
@@ -174,18 +181,20 @@
   FollowHandlers Result;
   addRelayHandlers(platform::kind::Evacuations, Result);
   Result.OnList_ = [this](const std::vector<StoreObject> &Objects) {
-    EvacuatedZones_.clear();
+    std::set<std::string> Zones;
     for (const StoreObject &Object : Objects)
-      EvacuatedZones_.insert(Object.Name_);
+      Zones.insert(Object.Name_);
+    Evacuations_.applyList(Zones);
     applyEvacuations();
   };
   Result.OnChange_ = [this](const StoreChange &Change) {
-    if (Change.IsRemoved_)
-      EvacuatedZones_.erase(Change.Object_.Name_);
-    else
-      EvacuatedZones_.insert(Change.Object_.Name_);
+    Evacuations_.applyChange(Change.Object_.Name_, Change.IsRemoved_);
     applyEvacuations();
   };
+  Result.OnNewEra_ = [this] {
+    Evacuations_.onStoreRolledBack(getNow());
+    onNewEra(EvacuationFollower_);
+  };
   return Result;
 }
 
@@ -199,25 +208,26 @@
     if (!Change.IsRemoved_)
       reportVm(Change.Object_);
   };
+  Result.OnNewEra_ = [this] { onNewEra(VmFollower_); };
   return Result;
 }
 
+void StoreView::onNewEra(const StoreFollower &Source) {
+  if (Source.getEra() <= Era_)
+    return;
+  Era_ = Source.getEra();
+  // The other watches may wait for revisions that the store no longer has.
+  for (StoreFollower *Each :
+       {&ConfigFollower_, &ServerFollower_, &EvacuationFollower_, &VmFollower_})
+    if (Each != &Source && Each->getEra() < Era_)
+      Each->restart();
+  Handlers_.OnStoreRolledBack_();
+}
+
 void StoreView::applyConfig(const StoreObject &Object) {
   if (Object.Name_ != platform::MainConfigName)
     return;
   Reason Why;
-  // Responses may arrive out of order.
-  if (Config_ && Object.Revision_ <= Config_->Revision_) {
-    if (std::optional<RoutingConfig> Ignored =
-            platform::decodeRouting(Object, Why);
-        Ignored && Ignored->Version_ != Config_->Version_)
-      Log_.write(getNow(), "config-ignored",
-                 {{"version", Ignored->Version_},
-                  {"revision", Object.Revision_},
-                  {"activeVersion", Config_->Version_},
-                  {"activeRevision", Config_->Revision_}});
-    return;
-  }
   std::optional<RoutingConfig> Decoded = platform::decodeRouting(Object, Why);
   if (!Decoded) {
     Log_.write(getNow(), "config-refused",
@@ -227,6 +237,17 @@
                 {"text", Why.Message_}});
     return;
   }
+  // The order of versions outlasts a rollback of the store, unlike that of
+  // revisions. Responses may also arrive out of order.
+  if (Config_ && Decoded->Version_ <= Config_->Version_) {
+    if (Decoded->Version_ != Config_->Version_)
+      Log_.write(getNow(), "config-ignored",
+                 {{"version", Decoded->Version_},
+                  {"revision", Object.Revision_},
+                  {"activeVersion", Config_->Version_},
+                  {"activeRevision", Config_->Revision_}});
+    return;
+  }
   auto Next = std::make_shared<RoutingConfig>(std::move(*Decoded));
   Log_.write(getNow(), "config",
              {{"version", Next->Version_},
@@ -257,16 +278,14 @@
 void StoreView::applyServerChange(const StoreChange &Change) {
   ServerChange Next;
   Next.IsRemoved_ = Change.IsRemoved_;
-  Next.Record_.InstanceId_ = Change.Object_.Name_;
   Reason Why;
-  if (!Change.IsRemoved_) {
-    std::optional<ServerRecord> Record =
-        platform::decodeServer(Change.Object_, Why);
-    if (Record)
-      Next.Record_ = std::move(*Record);
-    else // A server with an invalid entry can't be used.
-      Next.IsRemoved_ = true;
-  }
+  std::optional<ServerRecord> Record =
+      platform::decodeServer(Change.Object_, Why);
+  if (Record)
+    Next.Record_ = std::move(*Record);
+  else // A server with an invalid entry can't be used.
+    Next.IsRemoved_ = true;
+  Next.Record_.InstanceId_ = Change.Object_.Name_;
   uint64_t Before = Registry_.getVersion();
   if (Registry_.applyChange(Next, getNow()) ==
       ServerChangeKind::UnexpectedRemoval)
@@ -295,13 +314,14 @@
 
 void StoreView::applyEvacuations() {
   std::string Zones;
-  for (const std::string &Zone : EvacuatedZones_)
+  for (const std::string &Zone : Evacuations_.getZones())
     Zones += (Zones.empty() ? "" : " ") + Zone;
   Log_.write(
       getNow(), "evacuations",
       {{"zones", Zones}, {"revision", EvacuationFollower_.getRevision()}});
-  Registry_.setEvacuatedZones(EvacuatedZones_, getMaxColdDuration(), getNow());
-  if (!EvacuatedZones_.empty())
+  Registry_.setEvacuatedZones(Evacuations_.getZones(), getMaxColdDuration(),
+                              getNow());
+  if (!Evacuations_.getZones().empty())
     Handlers_.OnFailure_();
   Handlers_.OnServers_();
 }
--- a/src/steering/store_view_base.h
+++ b/src/steering/store_view_base.h
@@ -7,6 +7,7 @@
 #include "platform/store_client_base.h"
 #include "steering/store_follower_base.h"
 #include "steering/store_relay_base.h"
+#include "version/evacuation_set_base.h"
 #include "version/routing_type.h"
 #include "version/server_registry_base.h"
 
@@ -27,6 +28,9 @@
   /// Called with the peer address of an entry VM that is registered in the
   /// store.
   std::function<void(const std::string &)> OnEntryVm_;
+  /// Called when the store was restored from a copy, which may lack what this
+  /// VM has written.
+  std::function<void()> OnStoreRolledBack_;
 };
 
 /// Follows the configuration, the servers, the evacuations and the entry VMs.
@@ -84,6 +88,7 @@
   void applyServerList(const std::vector<platform::StoreObject> &Objects);
   void applyServerChange(const platform::StoreChange &Change);
   void applyEvacuations();
+  void onNewEra(const StoreFollower &Source);
   void reportVm(const platform::StoreObject &Object);
   Duration getMaxColdDuration() const;
   void addRelayHandlers(const std::string &Kind, FollowHandlers &Handlers);
@@ -91,18 +96,19 @@
   void onRelayFailed(const std::string &Text);
   bool isFresh() const;
 
-  boost::asio::io_context &Loop_;        ///< Event loop.
-  EventLog &Log_;                        ///< Event log.
-  StoreViewHandlers Handlers_;           ///< Callbacks to the owner.
-  ServerRegistry Registry_;              ///< Known servers.
-  std::set<std::string> EvacuatedZones_; ///< Zones that get no requests.
-  RoutingConfigPtr Config_;              ///< Active configuration.
-  StoreFollower ConfigFollower_;         ///< Follows the configuration.
-  StoreFollower ServerFollower_;         ///< Follows the servers.
-  StoreFollower EvacuationFollower_;     ///< Follows evacuations.
-  StoreFollower VmFollower_;             ///< Follows the entry VMs.
-  StoreRelay Relay_;                     ///< Relays objects to other entry VMs.
-  std::string Reader_;                   ///< Peer that is read from, or empty.
+  boost::asio::io_context &Loop_;    ///< Event loop.
+  EventLog &Log_;                    ///< Event log.
+  StoreViewHandlers Handlers_;       ///< Callbacks to the owner.
+  ServerRegistry Registry_;          ///< Known servers.
+  EvacuationSet Evacuations_;        ///< Zones that get no requests.
+  platform::StoreEra Era_ = 0;       ///< Latest era of the store.
+  RoutingConfigPtr Config_;          ///< Active configuration.
+  StoreFollower ConfigFollower_;     ///< Follows the configuration.
+  StoreFollower ServerFollower_;     ///< Follows the servers.
+  StoreFollower EvacuationFollower_; ///< Follows evacuations.
+  StoreFollower VmFollower_;         ///< Follows the entry VMs.
+  StoreRelay Relay_;                 ///< Relays objects to other entry VMs.
+  std::string Reader_;               ///< Peer that is read from, or empty.
   std::unique_ptr<platform::StoreClient> ReaderClient_; ///< Calls to that peer.
   Time NextReaderAt_;       ///< Time from which a peer may be the reader.
   Duration MaxFreshAge_{0}; ///< Maximum age of servers that are relayed.
--- a/src/version/server_record_type.h
+++ b/src/version/server_record_type.h
@@ -18,7 +18,8 @@
   unsigned Slots_ = 1;      ///< Maximum concurrent requests.
   bool IsDraining_ = false; ///< Whether it refuses new requests.
   Duration ColdRemaining_{
-      0}; ///< Rest of the cold phase at the time of the report.
+      0};                ///< Rest of the cold phase at the time of the report.
+  int64_t Sequence_ = 0; ///< Increases with each entry that the server writes.
   int64_t StartTimeMs_ = 0; ///< Start time, in Unix milliseconds; 0 if unknown.
 
   friend bool operator==(const ServerRecord &, const ServerRecord &) = default;
@@ -26,7 +27,8 @@
 
 /// Update or removal of a registration.
 struct ServerChange {
-  ServerRecord Record_;    ///< New record; only InstanceId_ is set if removed.
+  ServerRecord Record_; ///< New record, or the last one if removed; InstanceId_
+                        ///< is always set.
   bool IsRemoved_ = false; ///< Whether the registration was removed.
 };
 
--- a/src/version/server_registry.cpp
+++ b/src/version/server_registry.cpp
@@ -5,6 +5,21 @@
 
 namespace cranberry {
 
+namespace {
+
+/// How long removed entries are remembered, and how long after a rollback
+/// entries are compared with what was known before. A copy is some seconds old,
+/// and entries of servers that are gone expire within seconds.
+constexpr Duration RollbackMemory = seconds(60);
+
+bool isNewer(const ServerRecord &Record, int64_t StartTimeMs,
+             int64_t Sequence) {
+  return Record.StartTimeMs_ > StartTimeMs ||
+         (Record.StartTimeMs_ == StartTimeMs && Record.Sequence_ > Sequence);
+}
+
+} // namespace
+
 void ServerRegistry::applySnapshot(const std::vector<ServerRecord> &Records,
                                    Time Now) {
   IsLoaded_ = true;
@@ -28,13 +43,34 @@
   if (Found == Entries_.end())
     return ServerChangeKind::Expected;
   bool WasDraining = Found->second.Record_.IsDraining_;
+  Found->second.Record_.Sequence_ =
+      std::max(Found->second.Record_.Sequence_, Change.Record_.Sequence_);
   if (removeOrMarkExpired(Found->second, Now))
     Entries_.erase(Found);
   return WasDraining ? ServerChangeKind::Expected
                      : ServerChangeKind::UnexpectedRemoval;
 }
 
+bool ServerRegistry::isOutdated(const ServerRecord &Record, Time Now) const {
+  if (!RolledBackAt_ || Now >= *RolledBackAt_ + RollbackMemory)
+    return false;
+  if (auto Known = Entries_.find(Record.InstanceId_); Known != Entries_.end()) {
+    const ServerRecord &Last = Known->second.Record_;
+    return !isNewer(Record, Last.StartTimeMs_, Last.Sequence_ - 1);
+  }
+  auto Gone = Removed_.find(Record.InstanceId_);
+  return Gone != Removed_.end() && Gone->second.RemovedAt_ <= *RolledBackAt_ &&
+         !isNewer(Record, Gone->second.StartTimeMs_, Gone->second.Sequence_);
+}
+
+void ServerRegistry::recordRemoval(const Entry &Removed, Time Now) {
+  Removed_[Removed.Record_.InstanceId_] = {Removed.Record_.StartTimeMs_,
+                                           Removed.Record_.Sequence_, Now};
+}
+
 void ServerRegistry::storeRecord(const ServerRecord &Record, Time Now) {
+  if (isOutdated(Record, Now))
+    return;
   Entry &Known = Entries_[Record.InstanceId_];
   bool IsSame = Known.Record_.Address_ == Record.Address_ &&
                 Known.Record_.Service_ == Record.Service_ &&
@@ -61,8 +97,10 @@
   ++Version_;
   bool IsInGracePeriod =
       StoreRestoredAt_ && Now < *StoreRestoredAt_ + ExpiryGracePeriod;
-  if (Expired.Record_.IsDraining_ || !(IsStoreLost_ || IsInGracePeriod))
+  if (Expired.Record_.IsDraining_ || !(IsStoreLost_ || IsInGracePeriod)) {
+    recordRemoval(Expired, Now);
     return true;
+  }
   Expired.IsExpired_ = true;
   if (!IsStoreLost_)
     Expired.RemoveAt_ = *StoreRestoredAt_ + ExpiryGracePeriod;
@@ -81,6 +119,12 @@
       Known.RemoveAt_ = Now + ExpiryGracePeriod;
 }
 
+void ServerRegistry::onStoreRolledBack(Time Now) {
+  RolledBackAt_ = Now;
+  onStoreLost();
+  onStoreRestored(Now);
+}
+
 void ServerRegistry::setEvacuatedZones(const std::set<std::string> &Zones,
                                        Duration ColdDuration, Time Now) {
   if (Zones == EvacuatedZones_)
@@ -112,8 +156,14 @@
 
 void ServerRegistry::removeExpired(Time Now) {
   size_t Before = Entries_.size();
-  absl::erase_if(Entries_, [Now](const auto &Pair) {
-    return Pair.second.RemoveAt_ && *Pair.second.RemoveAt_ <= Now;
+  absl::erase_if(Entries_, [&](const auto &Pair) {
+    bool IsOver = Pair.second.RemoveAt_ && *Pair.second.RemoveAt_ <= Now;
+    if (IsOver)
+      recordRemoval(Pair.second, Now);
+    return IsOver;
+  });
+  std::erase_if(Removed_, [Now](const auto &Pair) {
+    return Pair.second.RemovedAt_ + RollbackMemory <= Now;
   });
   if (Entries_.size() != Before)
     ++Version_;
--- a/src/version/server_registry_base.h
+++ b/src/version/server_registry_base.h
@@ -6,8 +6,10 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace cranberry {
@@ -49,6 +51,12 @@
   /// Called when the store is available again.
   void onStoreRestored(Time Now);
 
+  /// Called when the store was restored from a copy that is some seconds old,
+  /// before the first snapshot from it. Servers that the copy lacks are kept as
+  /// after an outage, and entries that are older than what was known before are
+  /// ignored until the servers have written them again.
+  void onStoreRolledBack(Time Now);
+
   /// Sets the zones whose servers receive no new requests. Servers of a zone
   /// that is no longer evacuated count as cold for \p ColdDuration, unless
   /// their next records report a remaining cold time.
@@ -62,7 +70,8 @@
   /// Records that a server is cold until \p Until.
   void recordCold(const std::string &Id, Time Until);
 
-  /// Removes expired entries whose grace period has ended.
+  /// Removes expired entries whose grace period has ended. Has to be called
+  /// regularly.
   void removeExpired(Time Now);
 
   /// \return Servers that can receive requests, in unspecified order.
@@ -86,7 +95,16 @@
     bool IsExpired_ = false;       ///< Expired during an outage; still usable.
   };
 
+  /// Newest registration of a server that was removed.
+  struct RemovedEntry {
+    int64_t StartTimeMs_; ///< Start time of the server.
+    int64_t Sequence_;    ///< Number of the entry.
+    Time RemovedAt_;      ///< Time of the removal.
+  };
+
   void storeRecord(const ServerRecord &Record, Time Now);
+  bool isOutdated(const ServerRecord &Record, Time Now) const;
+  void recordRemoval(const Entry &Removed, Time Now);
 
   /// Handles the loss of an entry in the store. During an outage and the grace
   /// period after it, the entry is only marked as expired.
@@ -94,9 +112,12 @@
   bool removeOrMarkExpired(Entry &Expired, Time Now);
 
   absl::flat_hash_map<std::string, Entry> Entries_; ///< Entries by instance id.
+  /// Recently removed entries by instance id.
+  std::map<std::string, RemovedEntry> Removed_;
   std::set<std::string> EvacuatedZones_; ///< Zones without new requests.
   bool IsStoreLost_ = false;             ///< Whether the store is unavailable.
   std::optional<Time> StoreRestoredAt_;  ///< End of the last outage.
+  std::optional<Time> RolledBackAt_;     ///< Time of the last rollback.
   uint64_t Version_ = 0;                 ///< See getVersion().
   bool IsLoaded_ = false;                ///< See isLoaded().
 };
--- a/standin/object_store.cpp
+++ b/standin/object_store.cpp
@@ -141,7 +141,7 @@
                         const json &Body) const {
   ResponseMessage Response =
       makeResponse(Status, Body.dump(), "application/json");
-  Response.set(platform::header::StoreEra, std::to_string(Era_));
+  Response.set(platform::header::Era, std::to_string(Era_));
   Exchange->respond(Response);
 }
 
