Fix: [Net] A response that states a huge length doesn't end the process

A server whose head states a length above the limit ended the entry VM's process: callers of all its connections lost their requests.

Cause: the parser library reserves memory for the stated length before the error about its limit is seen; the allocation throws. Class of fault: a length from outside is used before it is checked. Now the head is parsed alone, and its length checked, before the body is started. Looked for elsewhere: the ingress checks first; a test of the same lengths holds it to that.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -155,7 +155,6 @@
   while (ReadBuffer_.size() > 0 && OnComplete_) {
     if (!Parser_) {
       Parser_.emplace();
-      Parser_->eager(true);
       Parser_->skip(Spec_.IsHeadRequest_);
       Parser_->body_limit(MaxResponseBytes);
     }
@@ -170,6 +169,16 @@
       handleResponse();
       continue;
     }
+    if (Parser_->is_header_done() && !Parser_->eager()) {
+      // The parser reserves the length that the head states before it checks
+      // the limit.
+      if (Parser_->content_length().value_or(0) > MaxResponseBytes) {
+        completeAttempt(AttemptStatus::Garbled);
+        return false;
+      }
+      Parser_->eager(true);
+      continue;
+    }
     if (Used == 0 || Error == http::error::need_more)
       break;
   }
--- a/test/unit/steering_connection_test.cpp
+++ b/test/unit/steering_connection_test.cpp
@@ -477,3 +477,32 @@
   CHECK(std::distance(Message.begin(), Message.end()) == 1);
   CHECK(Message["X-Kept"] == "1");
 }
+
+TEST_CASE("server connection: a response that states a huge length doesn't end "
+          "the process") {
+  for (const char *Length :
+       {"67108865", "999999999999", "9223372036854775807"}) {
+    CAPTURE(Length);
+    boost::asio::io_context Loop;
+    ScriptedServer Server(Loop,
+                          {{"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: " +
+                            std::string(Length) + "\r\n\r\nbody"}});
+    ConnectionPool Pool(Loop);
+    CHECK(send(Loop, Pool, Server.getEndpoint(), makeSpec("1")).Status_ ==
+          AttemptStatus::Garbled);
+  }
+}
+
+TEST_CASE("ingress: a request that states a huge length is answered 413") {
+  for (const char *Length :
+       {"67108865", "999999999999", "9223372036854775807"}) {
+    CAPTURE(Length);
+    boost::asio::io_context Loop;
+    IngressFixture Ingress(Loop);
+    RawClient Client(Loop, Ingress.Server_.getAddress());
+    Client.write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                 std::string(Length) + "\r\n\r\nbody");
+    CHECK(runUntil(
+        Loop, [&] { return Client.Received_.starts_with("HTTP/1.1 413"); }));
+  }
+}
