Fix: [Net] Bytes that are no answer are given up before they fill the memory

A server may send bytes that are no answer without an end, in a head or a body. An entry VM read them until the request's deadline: 64 MB for each body, and without any bound for the size of a chunk, a trailer, interim responses and responses to other requests. A few such servers would have ended the process by its memory limit, with the callers' requests on it.

Cause: limits held for one response, or for what the parser had accepted, and for nothing that is read besides. Class of fault: a buffer that grows at the will of the other side. Now what waits to be parsed is at most 64 KB, responses that are skipped at most 16, and all responses in transit together at most 64 MB, the bound that one body had before; over it the largest is given up.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -22,9 +22,13 @@
 
 constexpr size_t ReadBytes = 8192; ///< Maximum bytes per read.
 
-/// Maximum size of a response body; same as the default limit for request
-/// bodies.
-constexpr size_t MaxResponseBytes = 64U << 20;
+/// Maximum number of bytes that wait for the end of a head, of a chunk's size
+/// or of a trailer.
+constexpr size_t MaxUnparsedBytes = 65536;
+
+/// Maximum number of interim responses and responses to other requests before
+/// the response to a request. A server sends a few at most.
+constexpr unsigned MaxSkippedResponses = 16;
 
 /// TCP_USER_TIMEOUT: a connection is closed if sent data is not acknowledged
 /// for this long. Twice the longest freeze that a route's timeout would
@@ -55,8 +59,10 @@
 
 } // namespace
 
-ServerConnection::ServerConnection(boost::asio::io_context &IoContext)
-    : Socket_(IoContext), ConnectTimer_(IoContext) {}
+ServerConnection::ServerConnection(boost::asio::io_context &IoContext,
+                                   std::shared_ptr<ReceiveBudget> Budget)
+    : Socket_(IoContext), ConnectTimer_(IoContext), Budget_(std::move(Budget)) {
+}
 
 void ServerConnection::connectAndSend(const tcp::endpoint &Server,
                                       AttemptSpec Spec,
@@ -102,6 +108,7 @@
 void ServerConnection::startRequest() {
   IsReusable_ = false;
   IsWriting_ = true;
+  SkippedResponses_ = 0;
   Parser_.reset();
   boost::asio::async_write(
       Socket_, boost::asio::buffer(Spec_.Bytes_),
@@ -156,7 +163,7 @@
     if (!Parser_) {
       Parser_.emplace();
       Parser_->skip(Spec_.IsHeadRequest_);
-      Parser_->body_limit(MaxResponseBytes);
+      Parser_->body_limit(ReceiveBudget::MaxBytes);
     }
     error_code Error;
     size_t Used = Parser_->put(ReadBuffer_.data(), Error);
@@ -172,28 +179,43 @@
     if (Parser_->is_header_done() && !Parser_->eager()) {
       // The parser reserves the length that the head states before it checks
       // the limit.
-      if (Parser_->content_length().value_or(0) > MaxResponseBytes) {
+      if (Parser_->content_length().value_or(0) > ReceiveBudget::MaxBytes) {
         completeAttempt(AttemptStatus::Garbled);
         return false;
       }
       Parser_->eager(true);
       continue;
     }
+    if (!enforceLimits())
+      return false;
     if (Used == 0 || Error == http::error::need_more)
       break;
   }
   return true;
 }
 
+bool ServerConnection::enforceLimits() {
+  if (ReadBuffer_.size() > MaxUnparsedBytes) {
+    completeAttempt(AttemptStatus::Garbled);
+    return false;
+  }
+  Budget_->update(this, Parser_->get().body().size());
+  while (ServerConnection *Largest = Budget_->findExcess())
+    Largest->completeAttempt(AttemptStatus::Garbled);
+  return !IsClosed_;
+}
+
 void ServerConnection::handleResponse() {
   constexpr unsigned FirstFinal = 200;
   bool KeepsAlive = Parser_->keep_alive();
   ResponseMessage Response = Parser_->release();
   Parser_.reset();
-  if (Response.result_int() < FirstFinal)
-    return;
-  ResponseMatch Match = Spec_.Matcher_(Response);
-  if (Match == ResponseMatch::OtherRequest && KeepsAlive)
+  Budget_->update(this, 0);
+  bool IsInterim = Response.result_int() < FirstFinal;
+  ResponseMatch Match =
+      IsInterim ? ResponseMatch::OtherRequest : Spec_.Matcher_(Response);
+  if (Match == ResponseMatch::OtherRequest && (IsInterim || KeepsAlive) &&
+      ++SkippedResponses_ <= MaxSkippedResponses)
     return;
   if (Match != ResponseMatch::Matching) {
     completeAttempt(AttemptStatus::Garbled);
@@ -239,6 +261,7 @@
   IsClosed_ = true;
   IsReusable_ = false;
   OnComplete_ = nullptr;
+  Budget_->update(this, 0);
   ConnectTimer_.cancel();
   error_code Ignored; // No recovery is possible if close() fails.
   Socket_.close(Ignored);
--- a/src/net/server_connection_base.h
+++ b/src/net/server_connection_base.h
@@ -3,6 +3,7 @@
 #define CRANBERRY_NET_SERVER_CONNECTION_BASE_H
 
 #include "net/attempt_type.h"
+#include "net/receive_budget_base.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -20,7 +21,12 @@
 /// request.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
-  explicit ServerConnection(boost::asio::io_context &IoContext);
+  /// \param Budget Shared by all connections of a pool.
+  ServerConnection(boost::asio::io_context &IoContext,
+                   std::shared_ptr<ReceiveBudget> Budget);
+  ~ServerConnection() { Budget_->update(this, 0); }
+  ServerConnection(const ServerConnection &) = delete;
+  ServerConnection &operator=(const ServerConnection &) = delete;
 
   /// Connects to \p Server and sends the request.
   void connectAndSend(const boost::asio::ip::tcp::endpoint &Server,
@@ -48,6 +54,7 @@
   void read();
   void onReadComplete(const boost::system::error_code &Error);
   bool parse();
+  bool enforceLimits();
   void handleResponse();
   void updateIdleDeadline(const ResponseMessage &Response);
   void completeAttempt(AttemptStatus Status, ResponseMessage Response = {});
@@ -56,17 +63,19 @@
   boost::asio::steady_timer ConnectTimer_; ///< Connect timeout.
   boost::beast::flat_buffer ReadBuffer_;   ///< Received, unparsed bytes.
   std::optional<Parser> Parser_;           ///< Response being read.
-  AttemptSpec Spec_;                       ///< Current request.
-  AttemptCallback OnComplete_;             ///< Its callback; empty if idle.
-  Time ConnectStartTime_;                  ///< When connecting started.
-  std::optional<Duration> ConnectTime_;    ///< Time to connect; reported once.
-  Time IdleSince_;                         ///< When the last response ended.
-  Time IdleDeadline_;                      ///< See getIdleDeadline().
-  bool IsConnected_ = false;               ///< Connect has succeeded.
-  bool HasCarriedRequest_ = false;         ///< A request completed before.
-  bool IsWriting_ = false;                 ///< A write is pending.
-  bool IsReusable_ = false;                ///< See isReusable().
-  bool IsClosed_ = false;                  ///< Socket is closed.
+  std::shared_ptr<ReceiveBudget> Budget_;  ///< Limits buffered responses.
+  unsigned SkippedResponses_ = 0;       ///< Responses to other requests so far.
+  AttemptSpec Spec_;                    ///< Current request.
+  AttemptCallback OnComplete_;          ///< Its callback; empty if idle.
+  Time ConnectStartTime_;               ///< When connecting started.
+  std::optional<Duration> ConnectTime_; ///< Time to connect; reported once.
+  Time IdleSince_;                      ///< When the last response ended.
+  Time IdleDeadline_;                   ///< See getIdleDeadline().
+  bool IsConnected_ = false;            ///< Connect has succeeded.
+  bool HasCarriedRequest_ = false;      ///< A request completed before.
+  bool IsWriting_ = false;              ///< A write is pending.
+  bool IsReusable_ = false;             ///< See isReusable().
+  bool IsClosed_ = false;               ///< Socket is closed.
 };
 
 using ServerConnectionPtr = std::shared_ptr<ServerConnection>;
