Fix: [Net] A client's endless chunk size or trailer is refused

Looked for elsewhere, after the same fault in what servers send: the ingress kept the bytes of a chunk's size or of a trailer without a bound, so one client could have filled an entry VM's memory.

Cause and class as before: a buffer that grows at the will of the other side; the parser's limits cover heads and bodies only. Now what waits to be parsed is at most the limit for a head, and is answered 431.

The test failed before (67 MB taken, no answer) and passes.

--- a/src/net/ingress_connection.cpp
+++ b/src/net/ingress_connection.cpp
@@ -129,8 +129,12 @@
             Self->onWriteComplete(bool(Failed));
           });
     }
-    if (Used == 0 || Error == http::error::need_more)
+    if (Used == 0 || Error == http::error::need_more) {
+      // What waits is an incomplete head, chunk size or trailer.
+      if (ReadBuffer_.size() > Server_.getLimits().MaxHeaderBytes_)
+        respondWithError(getErrorStatus(http::error::header_limit));
       return;
+    }
   }
 }
 
--- a/test/unit/endless_response_test.cpp
+++ b/test/unit/endless_response_test.cpp
@@ -15,6 +15,7 @@
 
 constexpr Duration LoopTimeout = seconds(60);
 constexpr size_t MiB = 1U << 20;
+constexpr size_t ChunkBytes = 65536; ///< Bytes that are sent at a time.
 
 /// Bytes that one response may have, and all that are received at a time.
 constexpr size_t MaxBuffered = 64 * MiB;
@@ -31,7 +32,6 @@
       : Acceptor_(Loop,
                   tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
         Begin_(std::move(Begin)) {
-    constexpr size_t ChunkBytes = 65536;
     while (Repeated_.size() < ChunkBytes)
       Repeated_ += Repeated;
     accept();
@@ -173,3 +173,37 @@
           ChunkOverhead * (2 * MaxBuffered + Attempts * KernelBytes));
   }
 }
+
+TEST_CASE("ingress: a chunk size or trailer without an end is refused") {
+  const std::string Begin =
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const auto &[Start, Repeated] :
+       {std::pair<std::string, std::string>{"1;", "x"},
+        {"0\r\n", "X: y\r\n"}}) {
+    CAPTURE(Start);
+    boost::asio::io_context Loop;
+    IngressServer Ingress(Loop, [](const IngressExchangePtr &) {});
+    Reason Why;
+    REQUIRE(Ingress.open("127.0.0.1:0", Why));
+    tcp::socket Client(Loop);
+    Client.connect(*parseEndpoint(Ingress.getAddress()));
+    Client.non_blocking(true);
+    boost::asio::write(Client, boost::asio::buffer(Begin + Start));
+    std::string Chunk;
+    while (Chunk.size() < MiB)
+      Chunk += Repeated;
+    size_t SentBytes = 0;
+    std::string Answer(ChunkBytes, ' ');
+    size_t AnswerBytes = 0;
+    Time End = getNow() + LoopTimeout;
+    while (AnswerBytes == 0 && SentBytes < MaxBuffered && getNow() < End) {
+      error_code Error;
+      SentBytes += Client.write_some(boost::asio::buffer(Chunk), Error);
+      Loop.restart();
+      Loop.run_one_for(milliseconds(1));
+      AnswerBytes = Client.read_some(boost::asio::buffer(Answer), Error);
+    }
+    CHECK(Answer.starts_with("HTTP/1.1 431"));
+    CHECK(SentBytes < KernelBytes);
+  }
+}
