Feature: [Soak] Limited servers, restored stores and endless bodies

New: servers that name a limit, a store that is restored from a copy and written again by its operators and servers, and a link that answers with a body without an end. New checks: in the calm at the end a limited server gets no more than the platform allows, and no entry VM has taken more memory than the platform's smallest.

The store is only restored while all VMs are ready: one that starts before the operator writes again can't know the newer configuration.

--- a/standin/child_process.cpp
+++ b/standin/child_process.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
@@ -76,6 +77,15 @@
   return Found == Fields_.end() ? "" : Found->second;
 }
 
+size_t ChildProcess::getPeakMemory() const {
+  std::ifstream File("/proc/" + std::to_string(Pid_) + "/status");
+  std::string Field;
+  while (File >> Field)
+    if (size_t Size = 0; Field == "VmHWM:" && File >> Size)
+      return Size;
+  return 0;
+}
+
 void ChildProcess::signal(int Number) const {
   if (!Ended_)
     kill(Pid_, Number);
--- a/standin/child_process_base.h
+++ b/standin/child_process_base.h
@@ -35,6 +35,9 @@
 
   int getPid() const { return Pid_; }
 
+  /// \return Largest resident memory so far, in KiB; 0 if it isn't running.
+  size_t getPeakMemory() const;
+
   /// Waits for the process to exit.
   /// \return Exit status, or the negated number of the terminating signal.
   int wait();
--- a/standin/link.cpp
+++ b/standin/link.cpp
@@ -139,12 +139,27 @@
   return true;
 }
 
+void Link::flood(Flow &F, Time Now) {
+  constexpr size_t MaxQueued = 4;
+  if (!F.IsFlooded_ && !F.Out_.empty()) {
+    F.IsFlooded_ = true;
+    F.Back_.push_back(
+        {Now, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"});
+  }
+  F.Out_.clear();
+  while (F.IsFlooded_ && F.Back_.size() < MaxQueued)
+    F.Back_.push_back(
+        {Now, "10000\r\n" + std::string(ReadBytes, 'x') + "\r\n"});
+}
+
 bool Link::relay(Flow &F, Time Now) {
   bool IsSilent = F.Stuck_ || Mode_ == LinkMode::Silent;
   bool Alive = readInto(F.Near_, F.Out_, F.NearEnded_, Now) &&
                readInto(F.Far_, F.Back_, F.FarEnded_, Now);
   if (IsSilent)
     return Alive && !F.NearEnded_;
+  if (F.IsFlooded_ || Mode_ == LinkMode::Flood)
+    flood(F, Now);
   Alive =
       Alive && deliver(F.Far_, F.Out_, Now) && deliver(F.Near_, F.Back_, Now);
   bool IsDone =
--- a/standin/link_base.h
+++ b/standin/link_base.h
@@ -44,6 +44,7 @@
     int Far_ = -1;           ///< Socket to the target.
     std::deque<Chunk> Out_;  ///< Data for the target.
     std::deque<Chunk> Back_; ///< Data for the connecting side.
+    bool IsFlooded_ = false; ///< Whether the response without an end began.
     bool Stuck_ = false;     ///< Whether it is stalled for good.
     bool NearEnded_ = false; ///< Connecting side has closed.
     bool FarEnded_ = false;  ///< Target has closed.
@@ -54,6 +55,7 @@
   bool relay(Flow &F, Time Now);
   bool readInto(int Socket, std::deque<Chunk> &Queue, bool &Ended, Time Now);
   bool deliver(int Socket, std::deque<Chunk> &Queue, Time Now);
+  static void flood(Flow &F, Time Now);
   static void closeFlow(Flow &F);
 
   std::mutex Mutex_;                           ///< Guards Target_.
--- a/standin/object_store.cpp
+++ b/standin/object_store.cpp
@@ -120,6 +120,7 @@
 
 void ObjectStore::restoreCopy() {
   Thread_.call([&] {
+    LostKinds_ = std::move(Kinds_);
     Kinds_ = CopiedKinds_;
     Revision_ = CopiedRevision_;
     CompactedRevision_ = Revision_;
@@ -129,6 +130,25 @@
   });
 }
 
+void ObjectStore::rewriteLost() {
+  Thread_.call([&] {
+    for (const char *Kind : {platform::kind::Config, platform::kind::Servers,
+                             platform::kind::Evacuations})
+      rewriteLostKind(Kind);
+  });
+}
+
+void ObjectStore::rewriteLostKind(const std::string &Kind) {
+  std::vector<std::string> Removed;
+  for (const auto &[Name, Value] : Kinds_[Kind])
+    if (!LostKinds_[Kind].contains(Name))
+      Removed.push_back(Name);
+  for (const std::string &Name : Removed)
+    change(Kind, Name, nullptr);
+  for (const auto &[Name, Value] : LostKinds_[Kind])
+    change(Kind, Name, &Value.Body_);
+}
+
 void ObjectStore::setPageSize(size_t Objects) {
   Thread_.call([&] { PageSize_ = Objects; });
 }
--- a/standin/object_store_base.h
+++ b/standin/object_store_base.h
@@ -53,6 +53,10 @@
   /// given out again, and the era rises by one. Watches are cut.
   void restoreCopy();
 
+  /// Writes again what put() and remove() changed after the copy, as operators
+  /// and servers do.
+  void rewriteLost();
+
   /// Withholds all events from watches until compact().
   void suppressWatchEvents();
 
@@ -92,6 +96,7 @@
   void write(const IngressExchangePtr &Exchange, const std::string &Kind,
              const std::string &Name);
   nlohmann::json toJson(const std::string &Name, const Object &Value) const;
+  void rewriteLostKind(const std::string &Kind);
   void change(const std::string &Kind, const std::string &Name,
               const nlohmann::json *Body);
   bool answerWatch(const Watch &Waiting);
@@ -103,7 +108,8 @@
 
   std::map<std::string, ObjectMap> Kinds_;       ///< Objects by kind and name.
   std::map<std::string, ObjectMap> CopiedKinds_; ///< Objects of the copy.
-  uint64_t CopiedRevision_ = 1;                  ///< Revision of the copy.
+  std::map<std::string, ObjectMap> LostKinds_; ///< Objects before the restore.
+  uint64_t CopiedRevision_ = 1;                ///< Revision of the copy.
   uint64_t Era_ = 1; ///< Number of the history, counted by restoreCopy().
   std::vector<Event> History_;     ///< Changes after CompactedRevision_.
   uint64_t Revision_ = 1;          ///< Revision of the last change.
--- a/test/soak/soak_checks.cpp
+++ b/test/soak/soak_checks.cpp
@@ -1,5 +1,6 @@
 /// \file soak_checks.cpp Invariants that clients and servers observe.
 #include "test/soak/soak_checks_base.h"
+#include "test/support/rate_check_base.h"
 
 #include <algorithm>
 #include <tuple>
@@ -40,6 +41,12 @@
   NoWorkPeriods_.push_back({Server, From, To});
 }
 
+void SoakChecks::expectRate(const std::string &Server, double Limit, Time From,
+                            Time To) {
+  std::lock_guard Lock(Mutex_);
+  RatePeriods_.push_back({Server, Limit, From, To});
+}
+
 void SoakChecks::addFlagVersion(const std::string &Service, Time At) {
   std::lock_guard Lock(Mutex_);
   FlagVersions_.emplace_back(Service, At);
@@ -102,6 +109,22 @@
   }
 }
 
+void SoakChecks::checkRates(std::vector<FleetServer> &Servers) {
+  for (const RatePeriod &Period : RatePeriods_)
+    for (FleetServer &Each : Servers) {
+      if (Each.Server_->getId() != Period.Server_)
+        continue;
+      std::vector<Time> Runs;
+      for (const ServerRun &Run : Each.Server_->getRuns())
+        if (Run.At_ < Period.To_)
+          Runs.push_back(Run.At_);
+      size_t Peak = getPeakRuns(Runs, Period.From_);
+      if (static_cast<double>(Peak) > getAllowedRuns(Period.Limit_))
+        addViolation("got " + std::to_string(Peak) +
+                     " requests in 4 s over its limit: " + Period.Server_);
+    }
+}
+
 void SoakChecks::checkConfigurationOrder(std::vector<FleetServer> &Servers) {
   struct FlagRun {
     Time Sent_;           ///< Send time at the client.
@@ -175,6 +198,7 @@
     if (Count > 2)
       addViolation("sent to more servers than its route allows: " + Id);
   }
+  checkRates(Servers);
   checkRetryBudget(Servers);
   checkConfigurationOrder(Servers);
   return Violations_;
--- a/test/soak/soak_checks_base.h
+++ b/test/soak/soak_checks_base.h
@@ -37,6 +37,10 @@
   /// faults.
   void expectNoWork(const std::string &Server, Time From, Time To);
 
+  /// Expects \p Server, which names \p Limit requests per second, to get no
+  /// more than the platform allows between \p From and \p To.
+  void expectRate(const std::string &Server, double Limit, Time From, Time To);
+
   /// Adds a configuration version that routes "/flag/" to \p Service.
   /// Versions are added in order.
   /// \param At Time before which no server can run by that version.
@@ -61,13 +65,23 @@
     Time To_;            ///< End of the period.
   };
 
+  /// Time in which a server's rate limit must hold.
+  struct RatePeriod {
+    std::string Server_; ///< Instance id.
+    double Limit_;       ///< Requests per second.
+    Time From_;          ///< Start of the period.
+    Time To_;            ///< End of the period.
+  };
+
   void addViolation(const std::string &Text) { Violations_.push_back(Text); }
+  void checkRates(std::vector<standin::FleetServer> &Servers);
   void checkRetryBudget(std::vector<standin::FleetServer> &Servers);
   void checkConfigurationOrder(std::vector<standin::FleetServer> &Servers);
 
   std::mutex Mutex_;                           ///< Guards the members below.
   std::map<std::string, CompletedCall> Calls_; ///< Calls by attempt id.
   std::vector<NoWorkPeriod> NoWorkPeriods_;    ///< See expectNoWork().
+  std::vector<RatePeriod> RatePeriods_;        ///< See expectRate().
   std::vector<std::pair<std::string, Time>>
       FlagVersions_;                       ///< See addFlagVersion().
   Time LastFlagVersionFrom_ = Time::max(); ///< See expectLastFlagVersion().
--- a/test/soak/soak_main.cpp
+++ b/test/soak/soak_main.cpp
@@ -67,12 +67,18 @@
       Each.join();
     if (Checks_.countServed(Recovered) == 0)
       return {"no request succeeds after the last fault"};
-    return Checks_.checkRuns(Fleet_.servers());
+    std::vector<std::string> Violations = Checks_.checkRuns(Fleet_.servers());
+    for (std::string &Line : checkMemory())
+      Violations.push_back(std::move(Line));
+    return Violations;
   }
 
 private:
   static constexpr unsigned ClientCount = 6;
 
+  /// Requests per second that a server names for the check without faults.
+  static constexpr double CheckedRateLimit = 4;
+
   unsigned draw(unsigned Limit) {
     return static_cast<unsigned>(Random_() % Limit);
   }
@@ -141,7 +147,7 @@
     FleetVm &Vm = Fleet_.vm(draw(static_cast<unsigned>(Fleet_.getVmCount())));
     std::vector<FleetServer> &Servers = Fleet_.servers();
     FleetServer &Server = Servers[draw(static_cast<unsigned>(Servers.size()))];
-    constexpr unsigned Kinds = 11;
+    constexpr unsigned Kinds = 13;
     switch (draw(Kinds)) {
     case 0:
       stop(Vm, SIGKILL);
@@ -163,7 +169,7 @@
       Vm.PeerLink_->setMode(static_cast<LinkMode>(draw(4)));
       break;
     case 5:
-      Server.Link_->setMode(static_cast<LinkMode>(draw(4)));
+      Server.Link_->setMode(static_cast<LinkMode>(draw(5)));
       break;
     case 6:
       Server.Link_->setDelay(milliseconds(draw(80)));
@@ -180,6 +186,12 @@
       else
         Fleet_.unregisterServer(Server);
       break;
+    case 10:
+      Server.Server_->setRateLimit(1 + draw(20));
+      break;
+    case 11:
+      rollBackStore();
+      break;
     default:
       Fleet_.store().compact();
       configure();
@@ -190,6 +202,21 @@
       repairSome();
   }
 
+  /// Restores the store without the changes of the last second. A VM that
+  /// starts before they are written again can't know of them.
+  void rollBackStore() {
+    for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
+      if (!Fleet_.vm(I).Process_->isRunning() ||
+          !Fleet_.waitReady(I, milliseconds(200)))
+        return;
+    Fleet_.store().saveCopy();
+    configure();
+    Pauser_.pause(milliseconds(draw(1000)));
+    Fleet_.store().restoreCopy();
+    Pauser_.pause(milliseconds(draw(1500)));
+    Fleet_.store().rewriteLost();
+  }
+
   void stop(FleetVm &Vm, int Signal) {
     if (Vm.Process_ && Vm.Process_->isRunning())
       Vm.Process_->signal(Signal);
@@ -211,6 +238,7 @@
 
   void repair(FleetServer &Server) {
     Server.Server_->setFault(ResponseFault::None);
+    Server.Server_->setRateLimit(std::nullopt);
     Server.Link_->setDelay(Duration(0));
     Server.Link_->setMode(LinkMode::Pass);
     Fleet_.registerServer(Server);
@@ -235,7 +263,11 @@
   void checkLeaving() {
     for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
       Fleet_.waitReady(I, seconds(10));
+    FleetServer &Limited = Fleet_.servers()[4 + draw(4)];
+    Limited.Server_->setRateLimit(CheckedRateLimit);
     Pauser_.pause(SettleTime);
+    Checks_.expectRate(Limited.Server_->getId(), CheckedRateLimit, getNow(),
+                       getNow() + 2 * DrainLimit);
     FleetServer &Leaving = Fleet_.servers()[draw(4)];
     Fleet_.registerServer(Leaving, true);
     configure();
@@ -252,6 +284,16 @@
     Fleet_.store().remove("evacuations", "north-b");
   }
 
+  /// \return Violations of the platform's memory limit.
+  std::vector<std::string> checkMemory() {
+    constexpr size_t MaxKiB = 260 * 1024; // The smallest VM of the platform.
+    std::vector<std::string> Result;
+    for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
+      if (size_t KiB = Fleet_.vm(I).Process_->getPeakMemory(); KiB > MaxKiB)
+        Result.push_back(absl::StrCat("entry VM ", I, " took ", KiB, " KiB"));
+    return Result;
+  }
+
   std::mt19937 Random_;                 ///< Draws faults and delays.
   Duration Length_;                     ///< Duration of the faults.
   RoutedFleet Fleet_;                   ///< Fleet under test.
