Change: [Steering] Only VMs that use a limited server report to its ledger

Each VM reported twice a second for every limited server that it knew, and at once for each newly named one.

A VM that hasn't used or needed a server within 4 s keeps the fixed small share that it would have without a ledger, and reports on new limits wait 20 ms for others.

--- a/src/request/balancer_type.h
+++ b/src/request/balancer_type.h
@@ -101,6 +101,7 @@
   std::string Region_;   ///< Region of that zone.
   NamedRateLimit Limit_; ///< Limit that this VM knows.
   double PerSecond_ = 0; ///< Starts per second.
+  bool IsInUse_ = false; ///< Whether this VM has used or needed the server.
 };
 
 /// Sends a request to a server.
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -420,8 +420,9 @@
     if (SharedRateLimiter &Limiter = Server->getRateLimiter();
         Limiter.takeReportDue()) {
       const BackendServerConfig &Config = Server->getConfig();
+      bool IsInUse = Limiter.isInUse(Now);
       Result.push_back({Config.Id_, Config.Zone_, Config.Region_,
-                        Limiter.getLimit(), Limiter.takeDemand(Now)});
+                        Limiter.getLimit(), Limiter.takeDemand(Now), IsInUse});
     }
   return Result;
 }
--- a/src/request/shared_rate_limiter_base.h
+++ b/src/request/shared_rate_limiter_base.h
@@ -48,6 +48,9 @@
   /// ledger. The end is reported once.
   bool takeReportDue();
 
+  /// \return Whether this VM has recently used the server or needed it.
+  bool isInUse(Time Now) { return HasShortage_ || getRecentStarts(Now) > 0; }
+
   /// \return Rate to request as the next share, in starts per second. Resets
   /// the shortage.
   double takeDemand(Time Now);
--- a/src/steering/rate_share_exchange.cpp
+++ b/src/steering/rate_share_exchange.cpp
@@ -5,8 +5,6 @@
 #include "process/member_selection_func.h"
 #include "steering/rate_report_codec_func.h"
 
-#include <boost/asio/post.hpp>
-
 #include <algorithm>
 
 using boost::system::error_code;
@@ -19,6 +17,9 @@
 /// two reports.
 constexpr Duration ReportPeriod = milliseconds(500);
 
+/// Delay of reports on a new limit, which servers tend to name in groups.
+constexpr Duration NewLimitDelay = milliseconds(20);
+
 /// Timeout of a report: shorter than its period, and longer than the longest
 /// round trip.
 constexpr Duration ReportTimeout = milliseconds(400);
@@ -39,19 +40,23 @@
 RateShareExchange::RateShareExchange(boost::asio::io_context &Loop,
                                      RequestRouter &Router,
                                      const PeerExchange &Peers, EventLog &Log)
-    : Loop_(Loop), Router_(Router), Peers_(Peers), Log_(Log), Client_(Loop),
-      Timer_(Loop) {
+    : Router_(Router), Peers_(Peers), Log_(Log), Client_(Loop), Timer_(Loop) {
   // A server that names a limit gets no requests until a share is known.
-  Router_.setOnRateLimit([this] { scheduleReports(); });
+  Router_.setOnRateLimit([this] { scheduleReports(NewLimitDelay); });
 }
 
 void RateShareExchange::start() { sendReports(); }
 
-void RateShareExchange::scheduleReports() {
-  if (AreReportsPosted_)
+void RateShareExchange::scheduleReports(Duration Delay) {
+  Time At = getNow() + Delay;
+  if (NextReports_ > getNow() && NextReports_ <= At)
     return;
-  AreReportsPosted_ = true;
-  boost::asio::post(Loop_, [this] { sendReports(); });
+  NextReports_ = At;
+  Timer_.expires_at(At);
+  Timer_.async_wait([this](error_code Cancelled) {
+    if (!Cancelled)
+      sendReports();
+  });
 }
 
 double RateShareExchange::getScale() const {
@@ -65,12 +70,15 @@
 }
 
 void RateShareExchange::sendReports() {
-  AreReportsPosted_ = false;
   Time Now = getNow();
   Ledger_.expire(Now);
   MemberList Members = Peers_.getMembers();
   std::map<std::string, std::pair<const Member *, RateReport>> ByKeeper;
   for (RateDemand &Each : Router_.takeRateDemands()) {
+    if (!Each.IsInUse_ && Each.Limit_.PerSecond_) {
+      applyFallback(Each.Server_, Each.Limit_);
+      continue;
+    }
     const Member *Keeper =
         selectRateLedgerVm(Members, Each.Server_, Each.Zone_, Each.Region_);
     if (!Keeper)
@@ -83,11 +91,7 @@
   }
   for (const auto &[Vm, Target] : ByKeeper)
     reportTo(*Target.first, Target.second);
-  Timer_.expires_after(ReportPeriod);
-  Timer_.async_wait([this](error_code Cancelled) {
-    if (!Cancelled)
-      sendReports();
-  });
+  scheduleReports(ReportPeriod);
 }
 
 void RateShareExchange::reportTo(const Member &Keeper,
@@ -116,7 +120,9 @@
                {{"vm", Vm},
                 {"servers", static_cast<uint64_t>(Report.Demands_.size())},
                 {"text", Result.ErrorText_}});
-    applyFallback(Report);
+    for (const RateEntry &Each : Report.Demands_)
+      if (Each.Limit_.PerSecond_)
+        applyFallback(Each.Server_, Each.Limit_);
   });
 }
 
@@ -138,12 +144,10 @@
     Router_.setRateShare(Each.Server_, Each.Limit_, Each.PerSecond_);
 }
 
-void RateShareExchange::applyFallback(const RateReport &Report) {
+void RateShareExchange::applyFallback(const std::string &Server,
+                                      const NamedRateLimit &Named) {
   double Vms = std::max(1U, Router_.getVmCount());
-  for (const RateEntry &Each : Report.Demands_)
-    if (Each.Limit_.PerSecond_)
-      Router_.setRateShare(Each.Server_, Each.Limit_,
-                           *Each.Limit_.PerSecond_ * FallbackScale / Vms);
+  Router_.setRateShare(Server, Named, *Named.PerSecond_ * FallbackScale / Vms);
 }
 
 void RateShareExchange::handleReport(const IngressExchangePtr &Exchange) {
--- a/src/steering/rate_share_exchange_base.h
+++ b/src/steering/rate_share_exchange_base.h
@@ -20,8 +20,8 @@
 /// Reports this VM's demand for servers with a limited request rate to the VMs
 /// that keep their ledgers, applies the shares, and keeps ledgers for others.
 ///
-/// A VM that can't reach a ledger uses a small fixed share, so that the sum
-/// over all VMs stays bounded.
+/// A VM that can't reach a ledger, or hasn't used a server recently, has a
+/// small fixed share, so that the sum over all VMs stays bounded.
 class RateShareExchange {
 public:
   /// Path of reports on the port for other entry VMs.
@@ -38,21 +38,20 @@
 
 private:
   void sendReports();
-  void scheduleReports();
+  void scheduleReports(Duration Delay);
   void reportTo(const Member &Keeper, const RateReport &Report);
   RateReply applyReport(const RateReport &Report);
   void applyReply(const RateReply &Reply);
-  void applyFallback(const RateReport &Report);
+  void applyFallback(const std::string &Server, const NamedRateLimit &Named);
   double getScale() const;
 
-  boost::asio::io_context &Loop_;   ///< Event loop.
   RequestRouter &Router_;           ///< Uses the shares.
   const PeerExchange &Peers_;       ///< Knows the entry VMs.
   EventLog &Log_;                   ///< Event log.
   RateLedger Ledger_;               ///< Ledgers that this VM keeps.
   HttpClient Client_;               ///< Connections to other entry VMs.
   boost::asio::steady_timer Timer_; ///< Timer of the next reports.
-  bool AreReportsPosted_ = false;   ///< Whether sendReports() is posted.
+  Time NextReports_;                ///< Time at which Timer_ expires.
 };
 
 } // namespace cranberry
--- a/test/unit/endless_response_test.cpp
+++ b/test/unit/endless_response_test.cpp
@@ -28,7 +28,7 @@
 class EndlessServer {
 public:
   EndlessServer(boost::asio::io_context &Loop, std::string Begin,
-                std::string Repeated)
+                const std::string &Repeated)
       : Acceptor_(Loop,
                   tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
         Begin_(std::move(Begin)) {
