Fix: [Test] A watch answered by a restored store from a later revision

The guard steer-era survived when it was taken out: in the test the store cut every watch, so that followers listed anew for that reason. The new test restores the store between two watches and lets its revision pass the known one; the follower then gets changes that begin in another history. It fails without the guard and passes with it (three runs).

--- a/test/unit/rollback_test.cpp
+++ b/test/unit/rollback_test.cpp
@@ -145,6 +145,30 @@
   }
 }
 
+TEST_CASE("rollback: a watch that starts after the restore, at a revision that "
+          "was given out again, is not trusted") {
+  Fixture F;
+  F.Store_.put("things", "a", 1);
+  F.Store_.saveCopy();
+  F.Store_.put("things", "b", 1);
+  F.Direct_.setMinWatchInterval(seconds(1));
+  F.Direct_.start();
+  F.Relayed_.start();
+  Contents Expected{{"a", 1}, {"b", 1}};
+  REQUIRE(F.waitFor(Expected));
+  // The second of two changes ends a watch that has just started, so that the
+  // next one has to wait.
+  for (int I = 0; I < 2; ++I) {
+    F.Store_.put("things", "c", I);
+    Expected["c"] = I;
+    REQUIRE(F.waitFor(Expected));
+  }
+  F.Store_.restoreCopy();
+  for (int I = 0; I < 10; ++I)
+    F.Store_.put("things", "d", I);
+  CHECK(F.waitFor({{"a", 1}, {"d", 9}}));
+}
+
 TEST_CASE("rollback: entries from the copy don't replace newer ones") {
   ServerRegistry Registry;
   Time Now{seconds(100)};
