Fix: [Soak] Each seed restores the store once while there are no faults

Now three changes go before each restore, and each seed restores the store at the start of its calm.

--- a/test/soak/soak_main.cpp
+++ b/test/soak/soak_main.cpp
@@ -210,7 +210,9 @@
           !Fleet_.waitReady(I, milliseconds(200)))
         return;
     Fleet_.store().saveCopy();
-    configure();
+    // The store gives the revisions of all three out again.
+    for (unsigned I = 0; I < 3; ++I)
+      configure();
     Pauser_.pause(milliseconds(draw(1000)));
     Fleet_.store().restoreCopy();
     Pauser_.pause(milliseconds(draw(1500)));
@@ -263,6 +265,7 @@
   void checkLeaving() {
     for (size_t I = 0; I < Fleet_.getVmCount(); ++I)
       Fleet_.waitReady(I, seconds(10));
+    rollBackStore();
     FleetServer &Limited = Fleet_.servers()[4 + draw(4)];
     Limited.Server_->setRateLimit(CheckedRateLimit);
     Pauser_.pause(SettleTime);
