Change: [Request] Objects have one order of servers for each region

Cause: three preferred servers in each zone ask for more copies than the caches hold (7,020 on 4,725 places of 525 servers), and each copy costs one execution without a cache hit. What is late is cut at its timeout, isn't cached, and comes back.

Change: ObjectPlacement, a pure module, orders the servers of each region by a rendezvous hash; a further copy costs a whole saved execution instead of 0.4 of it.

--- a/src/request/server_state_base.h
+++ b/src/request/server_state_base.h
@@ -16,7 +16,8 @@
 struct ServiceTimeSample {
   Duration Ran_{0};  ///< Service time, corrected for interference.
   uint64_t Key_ = 0; ///< Hash of the requested object; 0 for none.
-  /// Rank of the server among the object's preferred servers in its zone.
+  /// Rank of the server among the object's preferred servers in its
+  /// region.
   unsigned PreferenceRank_ = 0;
   /// Cache state of the object when the request was sent.
   CacheState CacheStateAtStart_ = CacheState::Unknown;
@@ -35,7 +36,8 @@
   const BackendServerConfig &getConfig() const { return Config_; }
 
   /// Records that an attempt was sent.
-  /// \param HomeRank Rank among the object's preferred servers in the zone.
+  /// \param HomeRank Rank among the object's preferred servers in the
+  /// region.
   /// \param Expected Predicted time until the response.
   void recordStart(FlowIndex Flow, uint64_t Key, unsigned HomeRank,
                    Duration Expected, Time Now);
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -4,7 +4,6 @@
 #include "core/duration_func.h"
 
 #include <algorithm>
-#include <map>
 #include <set>
 
 namespace cranberry {
@@ -18,25 +17,20 @@
 /// Cost per rank of caching an object at a further preferred server, as a share
 /// of the time that a cache hit saves: each copy takes cache space. Further
 /// servers are used when the first one has a long wait.
-constexpr double CopyCostShare = 0.4;
+constexpr double CopyCostShare = 1;
 
 /// The same for an object that is cached there already. Its requests return to
 /// the first server as soon as that has the object.
 constexpr double WarmCopyCostShare = 0.1;
 
 /// One in this many requests that would bypass an object's first server in this
-/// zone goes there to warm its cache. Otherwise servers that joined or
+/// region goes there to warm its cache. Otherwise servers that joined or
 /// recovered would get no requests.
 constexpr unsigned ReturnInterval = 12;
 
-constexpr unsigned PreferredServersPerZone = 3;
-
 /// Weight of a new sample in the cache hit ratio.
 constexpr double HitRatioGain = 0.02;
 
-/// Maximum number of objects whose preferred servers are cached.
-constexpr size_t MaxCachedObjects = 4096;
-
 /// Service time of a cold server relative to a warm one.
 constexpr double ColdServerFactor = 2;
 
@@ -61,19 +55,6 @@
 /// Interval of the check for silent servers while attempts are in flight.
 constexpr Duration SilenceCheckInterval = milliseconds(100);
 
-/// Rendezvous hash.
-/// \return A stable preference of \p Key for a server, from 0 to 1.
-double getPreference(uint64_t Key, const std::string &Server) {
-  uint64_t Hash = Key ^ 0x9e3779b97f4a7c15ULL;
-  for (char C : Server)
-    Hash = (Hash ^ static_cast<unsigned char>(C)) * 0x100000001b3ULL;
-  Hash ^= Hash >> 29U;
-  Hash *= 0xbf58476d1ce4e5b9ULL;
-  Hash ^= Hash >> 32U;
-  constexpr double Range = 4294967296.0;
-  return static_cast<double>(Hash & 0xffffffffU) / Range;
-}
-
 bool contains(const std::vector<std::string> &List, const std::string &Text) {
   return std::find(List.begin(), List.end(), Text) != List.end();
 }
@@ -90,8 +71,6 @@
     const std::vector<BackendServerConfig> &Servers) {
   std::set<std::string> Listed;
   Usable_.clear();
-  PreferredServers_.clear();
-  AllServers_.clear();
   for (const BackendServerConfig &Server : Servers) {
     Listed.insert(Server.Id_);
     std::unique_ptr<ServerState> &State = Servers_[Server.Id_];
@@ -100,8 +79,8 @@
     else
       State = std::make_unique<ServerState>(Server);
     Usable_.push_back(State.get());
-    AllServers_.push_back({State.get(), 0});
   }
+  Placement_.setServers(Usable_);
   absl::erase_if(Servers_, [&](const auto &Entry) {
     return !Listed.count(Entry.first) && Entry.second->getInFlight() == 0;
   });
@@ -171,29 +150,6 @@
   Waiting_ = std::move(Sorted);
 }
 
-const ServiceBalancer::PreferredServers &
-ServiceBalancer::getPreferredServers(uint64_t Key) {
-  if (Key == 0)
-    return AllServers_;
-  if (PreferredServers_.size() > MaxCachedObjects)
-    PreferredServers_.clear();
-  auto [Found, IsNew] = PreferredServers_.try_emplace(Key);
-  PreferredServers &Preferred = Found->second;
-  if (!IsNew)
-    return Preferred;
-  std::map<std::string, std::vector<std::pair<double, ServerState *>>> Zones;
-  for (ServerState *Server : Usable_)
-    Zones[Server->getConfig().Zone_].emplace_back(
-        getPreference(Key, Server->getConfig().Id_), Server);
-  for (auto &[Zone, Servers] : Zones) {
-    std::sort(Servers.begin(), Servers.end(),
-              [](const auto &A, const auto &B) { return A.first > B.first; });
-    for (unsigned I = 0; I < Servers.size() && I < PreferredServersPerZone; ++I)
-      Preferred.push_back({Servers[I].second, I});
-  }
-  return Preferred;
-}
-
 double ServiceBalancer::getHitProbability(const PreferredServer &Where,
                                           uint64_t Key) const {
   if (Key == 0)
@@ -269,7 +225,7 @@
   // Lowest cost if servers had no rate limits.
   ServerState *Wanted = nullptr;
   Duration WantedCost = Duration::max();
-  for (const PreferredServer &Where : getPreferredServers(Request.Key_)) {
+  for (const PreferredServer &Where : Placement_.getServers(Request.Key_)) {
     ServerState *Server = Where.Server_;
     if (!canUse(Request, Server->getConfig()) || !Server->isAvailable(Now))
       continue;
@@ -282,8 +238,7 @@
       Wanted = Server;
       WantedCost = Cost;
     }
-    if (Request.Key_ != 0 && Where.Rank_ == 0 &&
-        Server->getConfig().Proximity_ == Proximity::SameZone)
+    if (Request.Key_ != 0 && Where.Rank_ == 0 && !IsOtherRegion)
       FirstServer = Next;
     if (!IsOtherRegion && isCheaper(Next, Best))
       Best = Next;
--- a/src/request/service_balancer_base.h
+++ b/src/request/service_balancer_base.h
@@ -3,6 +3,7 @@
 #define CRANBERRY_REQUEST_SERVICE_BALANCER_BASE_H
 
 #include "request/balancer_type.h"
+#include "request/object_placement_base.h"
 #include "request/region_shift_limiter_base.h"
 #include "request/server_state_base.h"
 #include "request/service_time_history_base.h"
@@ -94,21 +95,12 @@
     unsigned PreferenceRank_ = 0; ///< Rank among the preferred servers.
   };
 
-  /// A preferred server of an object. Each object has a few in each zone, and
-  /// all VMs choose the same ones, so that its requests find it in the cache.
-  struct PreferredServer {
-    ServerState *Server_ = nullptr; ///< The preferred server.
-    unsigned Rank_ = 0;             ///< 0 for the first choice in its zone.
-  };
-  using PreferredServers = std::vector<PreferredServer>;
-
   /// Number of queued requests on this VM by the server that they wait for.
   using Plan = absl::flat_hash_map<const ServerState *, unsigned>;
 
   ServiceTimeEstimate getServiceTime(const WaitingRequest &Request) const;
   double getPriority(const WaitingRequest &Request, Time Now) const;
   void sortWaiting(Time Now);
-  const PreferredServers &getPreferredServers(uint64_t Key);
   double getHitProbability(const PreferredServer &Where, uint64_t Key) const;
   Candidate evaluateServer(const WaitingRequest &Request,
                            const PreferredServer &Where,
@@ -131,14 +123,12 @@
   RegionShiftLimiter &ShiftLimiter_;  ///< Limits moves to other regions.
   ServerMap Servers_;                 ///< All known servers by instance id.
   std::vector<ServerState *> Usable_; ///< Servers that accept requests.
-  /// Preferred servers by object; cleared when the servers change.
-  absl::flat_hash_map<uint64_t, PreferredServers> PreferredServers_;
-  /// Candidates for requests without an object.
-  PreferredServers AllServers_;
+  ObjectPlacement Placement_;         ///< Preferred servers of objects.
   /// Cache hit ratio at an object's first server, for objects that this VM has
   /// not sent there recently.
   double FirstServerHitRatio_ = 0.5;
-  /// Number of requests that bypassed an idle first server in this zone.
+  /// Number of requests that bypassed an idle first server in this
+  /// region.
   unsigned BypassedFirstServer_ = 0;
   std::vector<WaitingRequest> Waiting_; ///< Queued requests.
   ServiceTimeHistory History_;          ///< Service times by route.
--- a/test/support/server_model.cpp
+++ b/test/support/server_model.cpp
@@ -7,12 +7,28 @@
 
 namespace cranberry::test {
 
-void ServerModel::handleRequest(uint64_t Key, ResponseCallback Done) {
+uint64_t ServerModel::handleRequest(uint64_t Key, ResponseCallback Done) {
+  uint64_t Number = NextNumber_++;
   if (Running_ < Plan_.Slots_)
-    return run(Key, std::move(Done));
-  if (Queue_.size() < Plan_.MaxQueue_)
-    return Queue_.push_back({Key, std::move(Done)});
-  Done({false, false, getLoad()});
+    run({Number, Key, std::move(Done)});
+  else if (Queue_.size() < Plan_.MaxQueue_)
+    Queue_.push_back({Number, Key, std::move(Done)});
+  else
+    Done({false, false, getLoad()});
+  return Number;
+}
+
+void ServerModel::cancel(uint64_t Request) {
+  std::erase_if(Queue_, [Request](const QueuedRequest &Each) {
+    return Each.Number_ == Request;
+  });
+  auto Found = InSlots_.find(Request);
+  if (Found == InSlots_.end())
+    return;
+  if (!Found->second.WasWarm_)
+    Warm_.remove(Found->second.Key_);
+  InSlots_.erase(Found);
+  release();
 }
 
 bool ServerModel::markWarm(uint64_t Key) {
@@ -41,17 +57,25 @@
 
 LoadReport ServerModel::getLoad() { return {Running_, getQueued(), Noise_}; }
 
-void ServerModel::run(uint64_t Key, ResponseCallback Done) {
+void ServerModel::release() {
+  --Running_;
+  if (Queue_.empty())
+    return;
+  QueuedRequest Next = std::move(Queue_.front());
+  Queue_.pop_front();
+  run(std::move(Next));
+}
+
+void ServerModel::run(QueuedRequest Request) {
   ++Running_;
-  bool WasWarm = Key != 0 && markWarm(Key);
+  bool WasWarm = Request.Key_ != 0 && markWarm(Request.Key_);
+  InSlots_[Request.Number_] = {Request.Key_, WasWarm};
   Duration Length = scaleDuration(Plan_.Work_, drawFactor(WasWarm));
-  Clock_.after(Length, [this, WasWarm, Done = std::move(Done)] {
-    --Running_;
-    if (!Queue_.empty()) {
-      QueuedRequest Next = std::move(Queue_.front());
-      Queue_.pop_front();
-      run(Next.Key_, std::move(Next.Done_));
-    }
+  Clock_.after(Length, [this, WasWarm, Number = Request.Number_,
+                        Done = std::move(Request.Done_)] {
+    if (InSlots_.erase(Number) == 0)
+      return; // Cancelled.
+    release();
     Done({true, WasWarm, getLoad()});
   });
 }
--- a/test/support/server_model_base.h
+++ b/test/support/server_model_base.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <list>
+#include <map>
 #include <random>
 
 namespace cranberry::test {
@@ -45,27 +46,40 @@
 
   /// Runs, queues or refuses a request.
   /// \param Key Object of the request; 0 for none.
-  /// \param Done Called with the result.
-  void handleRequest(uint64_t Key, ResponseCallback Done);
+  /// \param Done Called with the result, unless the request is cancelled.
+  /// \return Number of the request, for cancel().
+  uint64_t handleRequest(uint64_t Key, ResponseCallback Done);
+
+  /// Stops a request whose connection was closed. Its object is not cached.
+  void cancel(uint64_t Request);
 
   unsigned getRunning() const { return Running_; }
   unsigned getQueued() const { return static_cast<unsigned>(Queue_.size()); }
 
 private:
   struct QueuedRequest {
+    uint64_t Number_;       ///< Number of the request.
     uint64_t Key_;          ///< Object of the request.
     ResponseCallback Done_; ///< Called with the result.
   };
 
-  void run(uint64_t Key, ResponseCallback Done);
+  struct RunningRequest {
+    uint64_t Key_; ///< Object of the request.
+    bool WasWarm_; ///< Whether it was warm.
+  };
+
+  void run(QueuedRequest Request);
+  void release();
   bool markWarm(uint64_t Key);
   double drawFactor(bool IsWarm);
   LoadReport getLoad();
 
-  ServerModelPlan Plan_;            ///< Parameters.
-  VirtualTime &Clock_;              ///< Virtual time.
-  std::mt19937_64 Random_;          ///< Draws run times and noise.
-  unsigned Running_ = 0;            ///< Number of requests in slots.
+  ServerModelPlan Plan_;                       ///< Parameters.
+  VirtualTime &Clock_;                         ///< Virtual time.
+  std::mt19937_64 Random_;                     ///< Draws run times and noise.
+  unsigned Running_ = 0;                       ///< Number of requests in slots.
+  uint64_t NextNumber_ = 1;                    ///< Number of the next request.
+  std::map<uint64_t, RunningRequest> InSlots_; ///< Requests by number.
   std::deque<QueuedRequest> Queue_; ///< Requests that wait for a slot.
   std::list<uint64_t> Warm_;        ///< Warm objects, most recent first.
   Time NoiseFrom_;                  ///< Start of the current noise period.
--- a/test/support/steering_model.cpp
+++ b/test/support/steering_model.cpp
@@ -41,6 +41,17 @@
   return LatencyMs_[static_cast<size_t>(Share * Last)];
 }
 
+double SteeringModelReport::getInTimeShare(size_t From, size_t To) const {
+  double Offered = 0;
+  double InTime = 0;
+  for (size_t Second = From; Second < std::min(To, BySecond_.size());
+       ++Second) {
+    Offered += BySecond_[Second].first;
+    InTime += BySecond_[Second].second;
+  }
+  return Offered > 0 ? InTime / Offered : 0;
+}
+
 SteeringModel::SteeringModel(const SteeringModelPlan &Plan)
     : Plan_(Plan), Random_(Plan.Seed_) {
   std::vector<double> Weights = getWeights(Plan);
@@ -98,6 +109,10 @@
   double Turn = Passed / static_cast<double>(WavePeriod.count()) +
                 static_cast<double>(Zone) / Plan_.Zones_;
   double Wave = 1 + Plan_.Wave_ * std::sin(2 * std::numbers::pi * Turn);
+  Time BurstStart = Measured_ + Plan_.BurstFrom_;
+  if (Clock_.now() >= BurstStart &&
+      Clock_.now() < BurstStart + Plan_.BurstLength_)
+    Wave *= Plan_.BurstFactor_;
   std::exponential_distribution<double> Pause(Plan_.Load_ * Slots / Work *
                                               Wave);
   Duration Next(static_cast<int64_t>(Pause(Random_) * Second));
@@ -111,7 +126,8 @@
 
 uint64_t SteeringModel::drawKey(size_t Zone) {
   // Spreads the keys evenly, as hashed keys are.
-  uint64_t Number = Zone * Plan_.Objects_ + Popularity_(Random_) + 1;
+  uint64_t First = Plan_.AreObjectsShared_ ? 0 : Zone * Plan_.Objects_;
+  uint64_t Number = First + Popularity_(Random_) + 1;
   constexpr uint64_t Golden = 0x9e3779b97f4a7c15;
   return Number * Golden;
 }
@@ -130,6 +146,7 @@
   bool IsMeasured = Now >= Measured_;
   Report_.Offered_ += IsMeasured ? 1 : 0;
   Flows_[Id] = {Vm, Request, Now, IsMeasured};
+  Clock_.at(Request.Deadline_, [this, Id] { cut(Id); });
   if (!Vms_[Vm].Balancer_)
     return start(Id, pickServer(Vms_[Vm]));
   Vms_[Vm].Balancer_->submit(Request);
@@ -187,19 +204,25 @@
   Duration OneWay = getRoundTrip(Vms_[Open.Vm_].Zone_, Server) / 2;
   Clock_.after(OneWay,
                [this, FlowId, Server, OneWay, Key = Open.Request_.Key_] {
-                 Servers_[Server]->handleRequest(
+                 if (!Flows_.contains(FlowId))
+                   return;
+                 uint64_t Number = Servers_[Server]->handleRequest(
                      Key, [this, FlowId, Server,
                            OneWay](const ServerModel::Response &Response) {
                        Clock_.after(OneWay, [this, FlowId, Server, Response] {
                          end(FlowId, Server, Response);
                        });
                      });
+                 Flows_.at(FlowId).Server_ = Server;
+                 Flows_.at(FlowId).AtServer_ = Number;
                });
 }
 
 void SteeringModel::end(uint64_t FlowId, size_t Server,
                         const ServerModel::Response &Response) {
   Time Now = Clock_.now();
+  if (!Flows_.contains(FlowId))
+    return; // Cut while the response was on its way.
   Flow Open = Flows_.at(FlowId);
   Vm &From = Vms_[Open.Vm_];
   --From.InFlight_[Server];
@@ -220,11 +243,13 @@
       Response.IsRun_ || !From.Balancer_ || Now >= Open.Request_.Deadline_;
   if (!Response.IsRun_ && Open.IsMeasured_)
     ++Report_.Repeats_;
+  Flows_.at(FlowId).AtServer_ = 0;
   if (!IsOver) {
     From.Balancer_->submit(Open.Request_);
   } else if (!Response.IsRun_) {
     refuse(FlowId);
   } else {
+    recordSecond(Open, Latency <= Plan_.Objective_);
     if (Open.IsMeasured_) {
       ++(Latency <= Plan_.Objective_ ? Report_.InTime_ : Report_.Late_);
       Report_.Warm_ += Response.WasWarm_ ? 1 : 0;
@@ -237,8 +262,50 @@
     step(Open.Vm_);
 }
 
+void SteeringModel::recordSecond(const Flow &Open, bool IsInTime) {
+  if (!Open.IsMeasured_)
+    return;
+  auto Second = static_cast<size_t>((Open.Request_.Arrived_ - Measured_) /
+                                    Duration(seconds(1)));
+  if (Report_.BySecond_.size() <= Second)
+    Report_.BySecond_.resize(Second + 1);
+  ++Report_.BySecond_[Second].first;
+  Report_.BySecond_[Second].second += IsInTime ? 1 : 0;
+}
+
+void SteeringModel::cut(uint64_t FlowId) {
+  auto Found = Flows_.find(FlowId);
+  if (Found == Flows_.end())
+    return;
+  Flow Open = Found->second;
+  Vm &From = Vms_[Open.Vm_];
+  bool HasAttempt = Open.AtServer_ != 0;
+  bool WasQueued =
+      From.Balancer_ && From.Balancer_->cancelWaiting(FlowIndex(FlowId));
+  if (HasAttempt)
+    Servers_[Open.Server_]->cancel(Open.AtServer_);
+  if (!WasQueued && HasAttempt)
+    --From.InFlight_[Open.Server_];
+  if (From.Balancer_ && HasAttempt) {
+    EndedAttempt Ended;
+    Ended.Flow_ = FlowIndex(FlowId);
+    Ended.Route_ = Route;
+    Ended.Objective_ = Plan_.Objective_;
+    Ended.Server_ = getId(Open.Server_);
+    Ended.Outcome_ = ServerAttemptOutcome::Lost;
+    Ended.Ran_ = Clock_.now() - Open.Sent_;
+    From.Balancer_->endAttempt(Ended, Clock_.now());
+  }
+  recordSecond(Open, false);
+  Report_.Cut_ += Open.IsMeasured_ ? 1 : 0;
+  Flows_.erase(Found);
+  if (From.Balancer_)
+    step(Open.Vm_);
+}
+
 void SteeringModel::refuse(uint64_t FlowId) {
   auto Found = Flows_.find(FlowId);
+  recordSecond(Found->second, false);
   Report_.Refused_ += Found->second.IsMeasured_ ? 1 : 0;
   Flows_.erase(Found);
 }
--- a/test/support/steering_model_base.h
+++ b/test/support/steering_model_base.h
@@ -29,34 +29,46 @@
 /// Parameters of a simulation.
 struct SteeringModelPlan {
   SteeringPolicy Policy_ = SteeringPolicy::Balancer; ///< Policy under test.
-  unsigned Zones_ = 3;          ///< Availability zones of the region.
-  unsigned VmsPerZone_ = 1;     ///< Entry VMs of each zone.
-  unsigned ServersPerZone_ = 4; ///< Servers of each zone.
-  ServerModelPlan Server_;      ///< Parameters of the servers.
-  double Load_ = 0.9;           ///< Offered work, if cold, per slot.
-  double Wave_ = 0.3;           ///< Relative amplitude of zone load.
-  unsigned Objects_ = 55;       ///< Number of objects of each zone.
-  double Skew_ = 0.2;           ///< Exponent of their popularity.
+  unsigned Zones_ = 3;            ///< Availability zones of the region.
+  unsigned VmsPerZone_ = 1;       ///< Entry VMs of each zone.
+  unsigned ServersPerZone_ = 4;   ///< Servers of each zone.
+  ServerModelPlan Server_;        ///< Parameters of the servers.
+  double Load_ = 0.9;             ///< Offered work, if cold, per slot.
+  double Wave_ = 0.3;             ///< Relative amplitude of zone load.
+  unsigned Objects_ = 55;         ///< Number of objects of each zone.
+  double Skew_ = 0.2;             ///< Exponent of their popularity.
+  bool AreObjectsShared_ = false; ///< Whether all zones request the same ones.
+  double BurstFactor_ = 1;        ///< Load during the burst, relative to Load_.
+  Duration BurstFrom_{0};         ///< Start of the burst, after the warm-up.
+  Duration BurstLength_{0};       ///< Length of the burst.
   Duration Objective_ = milliseconds(400); ///< Latency objective.
-  Duration Deadline_ = seconds(2);         ///< Deadline from the arrival.
-  Duration WarmUp_ = seconds(5);           ///< Time before measuring.
-  Duration Length_ = seconds(30);          ///< Measured time.
-  uint64_t Seed_ = 20261204;               ///< Seed of all draws.
+  /// Deadline from the arrival; open attempts are cut then.
+  Duration Deadline_ = seconds(2);
+  Duration WarmUp_ = seconds(5);  ///< Time before measuring.
+  Duration Length_ = seconds(30); ///< Measured time.
+  uint64_t Seed_ = 20261204;      ///< Seed of all draws.
 };
 
 /// Results of the requests that arrived after the warm-up.
 struct SteeringModelReport {
-  unsigned Offered_ = 0;          ///< Requests that arrived.
-  unsigned InTime_ = 0;           ///< Answered within the objective.
-  unsigned Late_ = 0;             ///< Answered after the objective.
-  unsigned Refused_ = 0;          ///< Requests that were not run.
-  unsigned Warm_ = 0;             ///< Requests run on a warm object.
-  unsigned Repeats_ = 0;          ///< Attempts that servers refused.
+  unsigned Offered_ = 0; ///< Requests that arrived.
+  unsigned InTime_ = 0;  ///< Answered within the objective.
+  unsigned Late_ = 0;    ///< Answered after the objective.
+  unsigned Refused_ = 0; ///< Requests that were not run.
+  unsigned Warm_ = 0;    ///< Requests run on a warm object.
+  unsigned Cut_ = 0;     ///< Requests cut at their deadline.
+  unsigned Repeats_ = 0; ///< Attempts that servers refused.
+  /// Offered and in time, by the second of the arrival.
+  std::vector<std::pair<unsigned, unsigned>> BySecond_;
   std::vector<double> LatencyMs_; ///< Latency of responses, sorted.
 
   /// \return Latency in ms within which \p Share of the responses came; 0
   /// without responses.
   double getLatency(double Share) const;
+
+  /// \return Share of the requests of seconds \p From to \p To that were
+  /// answered within the objective.
+  double getInTimeShare(size_t From, size_t To) const;
 };
 
 /// Simulates one service of one region with open-loop arrivals at the entry VMs
@@ -73,6 +85,8 @@
     WaitingRequest Request_; ///< Request in the balancer's terms.
     Time Sent_;              ///< Start of its last attempt.
     bool IsMeasured_;        ///< Whether it arrived after the warm-up.
+    size_t Server_ = 0;      ///< Server of its last attempt.
+    uint64_t AtServer_ = 0;  ///< Number of that attempt there; 0 for none.
   };
 
   struct Vm {
@@ -89,6 +103,8 @@
   void end(uint64_t FlowId, size_t Server,
            const ServerModel::Response &Response);
   void refuse(uint64_t FlowId);
+  void cut(uint64_t FlowId);
+  void recordSecond(const Flow &Open, bool IsInTime);
   size_t pickServer(const Vm &From);
   Duration getRoundTrip(size_t Zone, size_t Server) const;
   uint64_t drawKey(size_t Zone);
--- a/test/unit/steering_model_test.cpp
+++ b/test/unit/steering_model_test.cpp
@@ -55,7 +55,8 @@
         SteeringPolicy::Random}) {
     SteeringModelReport First = runModel(Policy, 1.5, 2);
     CHECK(First.Offered_ > 1000);
-    CHECK(First.InTime_ + First.Late_ + First.Refused_ == First.Offered_);
+    CHECK(First.InTime_ + First.Late_ + First.Refused_ + First.Cut_ ==
+          First.Offered_);
     SteeringModelReport Second = runModel(Policy, 1.5, 2);
     CHECK(Second.InTime_ == First.InTime_);
     CHECK(Second.LatencyMs_ == First.LatencyMs_);
@@ -75,3 +76,53 @@
       CHECK(Balancer.Warm_ > LeastInFlight.Warm_);
     }
 }
+
+TEST_CASE("model: many VMs keep the objects of a region in small caches") {
+  // Nine VMs in each zone, work of 2 s if an object isn't cached, and caches
+  // that hold one copy of each object three times over, but no nine copies.
+  SteeringModelPlan Plan;
+  Plan.VmsPerZone_ = 9;
+  Plan.ServersPerZone_ = 30;
+  Plan.Server_.Work_ = milliseconds(2040);
+  Plan.Server_.WarmSaving_ = 0.75;
+  Plan.Server_.WarmCapacity_ = 9;
+  Plan.Objects_ = 260;
+  Plan.AreObjectsShared_ = true;
+  Plan.Objective_ = milliseconds(1500);
+  Plan.Deadline_ = seconds(3);
+  Plan.WarmUp_ = seconds(10);
+  Plan.Length_ = seconds(20);
+  for (double Load : {0.6, 0.9}) {
+    CAPTURE(Load);
+    Plan.Load_ = Load;
+    SteeringModelReport Report = SteeringModel(Plan).run();
+    CHECK(Report.Warm_ > 0.9 * (Report.InTime_ + Report.Late_));
+    CHECK(Report.InTime_ > 0.85 * Report.Offered_);
+  }
+}
+
+TEST_CASE("model: a burst that fills the servers leaves no overload behind") {
+  SteeringModelPlan Plan;
+  Plan.VmsPerZone_ = 8;
+  Plan.ServersPerZone_ = 20;
+  Plan.Server_.Slots_ = 9;
+  Plan.Server_.MaxQueue_ = 27;
+  Plan.Server_.Work_ = milliseconds(1104);
+  Plan.Server_.WarmSaving_ = 0.75;
+  Plan.Server_.WarmCapacity_ = 12;
+  Plan.Objects_ = 400;
+  Plan.AreObjectsShared_ = true;
+  Plan.Objective_ = milliseconds(800);
+  Plan.Deadline_ = milliseconds(1500);
+  Plan.Load_ = 1.5;
+  Plan.WarmUp_ = seconds(12);
+  Plan.BurstFrom_ = seconds(5);
+  Plan.BurstLength_ = seconds(4);
+  Plan.BurstFactor_ = 3;
+  Plan.Length_ = seconds(20);
+  SteeringModelReport Report = SteeringModel(Plan).run();
+  double Before = Report.getInTimeShare(0, 5);
+  double After = Report.getInTimeShare(12, 20);
+  CAPTURE(Before, After, Report.getInTimeShare(5, 9));
+  CHECK(After > 0.9 * Before);
+}
