Fix: [Request] An attempt that its deadline would cut isn't started

Cause: a request that had used up its time, mostly a retry, was started as soon as a server had room, and was cut while it ran: the slot is lost and nothing is cached.

Change: it is refused if its predicted end lies past the deadline. A request that has all of its time is started in any case, as only an attempt can correct a wrong estimate, and a new route has none.

Result: the new test fails before.

Conclusion: kept, for the slots that it saves.

--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -266,6 +266,14 @@
                      });
 }
 
+bool ServiceBalancer::hasLostItsTime(const WaitingRequest &Request,
+                                     const Candidate &Best, Time Now) {
+  // A request for which even its whole time would be too short is started: the
+  // estimate may be wrong, and only an attempt can correct it.
+  return Now + Best.Finish_ > Request.Deadline_ &&
+         Request.Arrived_ + Best.Finish_ <= Request.Deadline_;
+}
+
 std::optional<RefuseRequest>
 ServiceBalancer::checkRefusal(const WaitingRequest &Request,
                               const Candidate &Best, Time Now) const {
@@ -319,7 +327,8 @@
   std::vector<WaitingRequest> Remaining;
   for (WaitingRequest &Request : Waiting_) {
     Candidate Best = chooseServer(Request, Planned, Now);
-    if (Best.Server_ && Best.Wait_ == Duration(0)) {
+    if (Best.Server_ && Best.Wait_ == Duration(0) &&
+        !hasLostItsTime(Request, Best, Now)) {
       startAttempt(Request, Best, Now, Out);
       continue;
     }
--- a/src/request/service_balancer_base.h
+++ b/src/request/service_balancer_base.h
@@ -112,6 +112,8 @@
                              const Candidate &Best, Time Now);
   Candidate chooseServer(const WaitingRequest &Request, const Plan &Planned,
                          Time Now);
+  static bool hasLostItsTime(const WaitingRequest &Request,
+                             const Candidate &Best, Time Now);
   bool hasServer(const WaitingRequest &Request) const;
   std::optional<RefuseRequest> checkRefusal(const WaitingRequest &Request,
                                             const Candidate &Best,
--- a/test/unit/service_balancer_test.cpp
+++ b/test/unit/service_balancer_test.cpp
@@ -310,3 +310,20 @@
         FarStarts += Start->Server_ == "z" ? 1 : 0;
   CHECK(FarStarts > 0);
 }
+
+TEST_CASE("balancer: an attempt that its deadline would cut isn't started") {
+  Fixture F;
+  F.Balancer_.setServers({makeServer("a")});
+  for (int I = 0; I < 60; ++I)
+    F.serve(F.make(), milliseconds(300));
+  WaitingRequest Late = F.make();
+  Late.Arrived_ = F.Now_ - milliseconds(900);
+  Late.ObjectiveAt_ = F.Now_ + milliseconds(500);
+  Late.Deadline_ = F.Now_ + milliseconds(200);
+  CHECK(hasRefusal(F.submit(Late)));
+  // A request that has all of its time is started even if the estimate exceeds
+  // it: only an attempt can correct the estimate.
+  WaitingRequest Short = F.make();
+  Short.Deadline_ = F.Now_ + milliseconds(200);
+  CHECK(getStarted(F.submit(Short)) == "a");
+}
