Change: [Steering] The clients of a zone share its strongest entry VMs

Cause: a VM of 9 in a zone hears of a server's load and caches once in ten seconds; two of three requests open a connection. Processor use is a few percent, so the fleet is far wider than its work.

Change: look-ups name the two strongest VMs of a zone, and one more for each that announces in heartbeats that it is busy: 0.45 of its processor (150 us a request, or a timer that is late) or of its link, until it stays under 0.2 for 10 s. Strength comes from the new settings processorShare and linkMbps. A process that has restarted (setting firstStart) lifts the limit on shifts from its first request: starting at no share sent the requests of half a zone back to a region without room for 8 s. The members line names changes only, as it grew with the square of the fleet.

A VM that fails takes more clients with it, though not more in all; the second one has room for them.

--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -87,6 +87,13 @@
     return true;
   }
 
+  bool setField(bool Settings::*Field) {
+    if (!Value_.is_boolean())
+      return fail(ResultCode::SettingsWrongType, "must be true or false");
+    Target_.*Field = Value_;
+    return true;
+  }
+
   bool setField(double Settings::*Field) {
     if (!Value_.is_number())
       return fail(ResultCode::SettingsWrongType, "must be a number");
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -49,7 +49,11 @@
                                               ///< requests.
   double MaxRegionShift_ = 1; ///< Largest share of a region's requests that may
                               ///< move to another region within 2 s.
-  double ColdBurstFactor_ = 1;      ///< Factor on a cold server's request rate.
+  double ColdBurstFactor_ = 1; ///< Factor on a cold server's request rate.
+  double ProcessorShare_ = 1;  ///< Cores that this VM may use.
+  double LinkMbps_ = 0; ///< Speed of this VM's link in Mbit/s; 0 if unknown.
+  bool IsFirstStart_ = true; ///< Whether the whole system starts for the first
+                             ///< time, and not this process again.
   unsigned LogLinesPerSecond_ = 40; ///< Rate limit per kind of log line.
 };
 
--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -14,7 +14,7 @@
     std::variant<std::string Settings::*, std::vector<std::string> Settings::*,
                  std::map<std::string, std::string> Settings::*,
                  unsigned Settings::*, double Settings::*,
-                 Duration Settings::*>;
+                 Duration Settings::*, bool Settings::*>;
 
 /// Settings key.
 struct SettingsRow {
@@ -60,6 +60,9 @@
     {"serverDrainMs", &Settings::ServerDrain_, false, false, true, 200, 60000},
     {"maxRegionShift", &Settings::MaxRegionShift_, false, false, true, 0, 1},
     {"logLinesPerSecond", &Settings::LogLinesPerSecond_, false, false, true, 0, 100000},
+    {"processorShare", &Settings::ProcessorShare_, false, false, false, 0, 1024},
+    {"linkMbps", &Settings::LinkMbps_, false, false, false, 0, 1000000},
+    {"firstStart", &Settings::IsFirstStart_, false, false, false, 0, 0},
     {"coldBurstFactor", &Settings::ColdBurstFactor_, false, false, true, 0, 100},
 };
 // clang-format on
--- a/src/process/member_type.h
+++ b/src/process/member_type.h
@@ -37,6 +37,8 @@
   MemberState State_ = MemberState::Alive; ///< Last known state.
   uint64_t KeyEpoch_ = 0; ///< Current epoch of idempotency keys.
   Revision Revision_ = 0; ///< Revision of the active configuration.
+  double Strength_ = 1;   ///< Relative strength, in cores.
+  bool IsBusy_ = false;   ///< Whether others should share its clients.
 };
 
 /// Snapshot of the members, shared with the threads that serve traffic.
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -71,6 +71,13 @@
   announceSelf();
 }
 
+void Membership::setBusy(bool IsBusy) {
+  if (Self_.IsBusy_ == IsBusy)
+    return;
+  Self_.IsBusy_ = IsBusy;
+  announceSelf();
+}
+
 void Membership::setRevision(Revision Value) {
   if (Value <= Self_.Revision_)
     return;
--- a/src/process/membership_base.h
+++ b/src/process/membership_base.h
@@ -65,6 +65,9 @@
   /// Announces that this VM is shutting down.
   void announceLeaving();
 
+  /// Announces whether this VM is busy.
+  void setBusy(bool IsBusy);
+
   /// Sets the configuration revision that heartbeats report; never decreases.
   void setRevision(Revision Value);
 
--- a/src/request/region_shift_limiter.cpp
+++ b/src/request/region_shift_limiter.cpp
@@ -48,6 +48,10 @@
 }
 
 bool RegionShiftLimiter::canSendTo(std::string_view RegionName, Time Now) {
+  if (IsLiftedFromFirst_) {
+    IsLiftedFromFirst_ = false;
+    recordFailure(Now);
+  }
   if (Now < UnlimitedUntil_)
     return true;
   advance(Now);
@@ -72,6 +76,8 @@
   double Share = To.Requests_ / TotalRequests_;
   if (Share <= To.RecentShare_)
     return;
+  if (Now < UnlimitedUntil_ && TotalRequests_ < MinSampleSize)
+    return; // One of the first requests alone would be a share of all.
   if (Now >= UnlimitedUntil_)
     AvailableGrowth_ =
         std::max(0.0, AvailableGrowth_ - (Share - To.RecentShare_));
--- a/src/request/region_shift_limiter_base.h
+++ b/src/request/region_shift_limiter_base.h
@@ -32,6 +32,11 @@
   /// limit for a while.
   void recordFailure(Time Now) { UnlimitedUntil_ = Now + FailurePeriod; }
 
+  /// Lifts the limit for a while from the first request on. A VM that has
+  /// restarted doesn't know the shares from before, and starting them at zero
+  /// would move requests back to a region without room for them.
+  void liftFromFirstRequest() { IsLiftedFromFirst_ = true; }
+
   /// \return Whether one more request may be sent to \p RegionName.
   bool canSendTo(std::string_view RegionName, Time Now);
 
@@ -67,6 +72,10 @@
   /// few seconds.
   static constexpr Duration FailurePeriod = seconds(4);
 
+  /// Number of requests from which their shares count while the limit is
+  /// lifted.
+  static constexpr double MinSampleSize = 20;
+
   double MaxWindowGrowth_ = 0;  ///< Maximum growth of all shares per window.
   double AvailableGrowth_ = 0;  ///< Growth that is available now.
   double TotalRequests_ = 0;    ///< All requests within the window.
@@ -74,6 +83,7 @@
   std::vector<Region> Regions_; ///< Regions that requests were sent to.
   Time Updated_;                ///< Time of the last update of the window.
   Time UnlimitedUntil_;         ///< The limit is lifted until then.
+  bool IsLiftedFromFirst_ = false; ///< See liftFromFirstRequest().
 };
 
 } // namespace cranberry
--- a/src/steering/heartbeat_codec.cpp
+++ b/src/steering/heartbeat_codec.cpp
@@ -18,7 +18,9 @@
           {"incarnation", Vm.Incarnation_},
           {"sequence", Vm.Sequence_},
           {"state", static_cast<unsigned>(Vm.State_)},
-          {"revision", Vm.Revision_}};
+          {"revision", Vm.Revision_},
+          {"strength", Vm.Strength_},
+          {"busy", Vm.IsBusy_}};
 }
 
 Member decodeMember(const json &Value) {
@@ -34,6 +36,9 @@
   Result.State_ = static_cast<MemberState>(
       std::min(Value.at("state").get<unsigned>(), States - 1));
   Result.Revision_ = Value.at("revision");
+  // A VM of an earlier release doesn't send these.
+  Result.Strength_ = Value.value("strength", Result.Strength_);
+  Result.IsBusy_ = Value.value("busy", Result.IsBusy_);
   return Result;
 }
 
--- a/src/steering/lookup_directory_func.h
+++ b/src/steering/lookup_directory_func.h
@@ -12,10 +12,19 @@
 /// Maximum number of entry VMs in a look-up response.
 inline constexpr size_t MaxLookupAddresses = 64;
 
-/// \return Addresses of the entry VMs for a client in \p Zone of \p Region:
-/// those of its zone or, if there are none, of its region or else of all
-/// regions. Leaving VMs are never returned, and suspect ones only if there are
-/// no others.
+/// Number of entry VMs of a zone that serve its clients while they aren't busy.
+/// A second one takes over when the first fails.
+inline constexpr size_t MinVmsPerZone = 2;
+
+/// Selects the entry VMs for a client.
+///
+/// The fewer VMs send to a server, the better each of them knows its load and
+/// its cache, and the more of its connections are used again. So the clients of
+/// a zone share the strongest MinVmsPerZone VMs, and further ones for each that
+/// is busy.
+/// \return Addresses of VMs of \p Zone or, if there are none, of all VMs of
+/// \p Region or else of all regions. Leaving VMs are never returned, and
+/// suspect ones only if there are no others.
 std::vector<std::string> selectLookupAddresses(const MemberList &Vms,
                                                const std::string &Region,
                                                const std::string &Zone);
--- a/src/steering/peer_exchange.cpp
+++ b/src/steering/peer_exchange.cpp
@@ -109,12 +109,27 @@
   if (Membership_.getViewVersion() == NotifiedViewVersion_)
     return;
   NotifiedViewVersion_ = Membership_.getViewVersion();
-  std::string States;
+  std::map<std::string, MemberState> States;
   for (const Member &Vm : Membership_.getMembers())
-    States += (States.empty() ? "" : " ") + Vm.Vm_ + "=" +
-              MemberStateNames[static_cast<size_t>(Vm.State_)];
+    States[Vm.Vm_] = Vm.State_;
+  // Only the changes, as a line with all members would grow with the fleet.
+  std::string Changes;
+  auto AddChange = [&Changes](const std::string &Vm, MemberState State) {
+    Changes += (Changes.empty() ? "" : " ") + Vm + "=" +
+               MemberStateNames[static_cast<size_t>(State)];
+  };
+  for (const auto &[Vm, State] : States)
+    if (auto Known = NotifiedStates_.find(Vm);
+        Known == NotifiedStates_.end() || Known->second != State)
+      AddChange(Vm, State);
+  for (const auto &[Vm, State] : NotifiedStates_)
+    if (!States.contains(Vm))
+      AddChange(Vm, MemberState::Gone);
   Log_.write(getNow(), "members",
-             {{"view", NotifiedViewVersion_}, {"vms", States}});
+             {{"view", NotifiedViewVersion_},
+              {"count", static_cast<uint64_t>(States.size())},
+              {"changes", Changes}});
+  NotifiedStates_ = std::move(States);
   OnChange_();
 }
 
--- a/src/steering/peer_exchange_base.h
+++ b/src/steering/peer_exchange_base.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -39,6 +40,9 @@
   /// \param Period Time between two rounds of heartbeats, from the next one on.
   void setPeriod(Duration Period) { Period_ = Period; }
 
+  /// Announces whether this VM is busy.
+  void setBusy(bool IsBusy) { Membership_.setBusy(IsBusy); }
+
   /// Announces to all members that this VM is leaving.
   void announceLeave();
 
@@ -59,9 +63,11 @@
   IngressHandler RequestHandler_;    ///< Handles other requests.
   Membership Membership_;            ///< Tracks the state of members.
   uint64_t NotifiedViewVersion_ = 0; ///< Last version reported.
-  IngressServer Server_;             ///< Port for other entry VMs.
-  HttpClient Client_;                ///< Connections to other entry VMs.
-  boost::asio::steady_timer Timer_;  ///< Timer of the next round.
+  /// States that were reported, by VM.
+  std::map<std::string, MemberState> NotifiedStates_;
+  IngressServer Server_;            ///< Port for other entry VMs.
+  HttpClient Client_;               ///< Connections to other entry VMs.
+  boost::asio::steady_timer Timer_; ///< Timer of the next round.
 };
 
 } // namespace cranberry
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -314,6 +314,7 @@
 
 void RequestRouter::sendResponse(ClientFlow &Flow, ResponseMessage Response) {
   eraseHopByHopFields(Response);
+  SentBytes_ += Response.body().size();
   Flow.Exchange_->respond(Response);
   closeFlow(Flow, ResultCode::Ok, ServerAttemptOutcome::Withdrawn);
 }
--- a/src/steering/request_router_attempts.cpp
+++ b/src/steering/request_router_attempts.cpp
@@ -104,10 +104,12 @@
     });
     return;
   }
+  AttemptSpec Spec = makeAttemptSpec(Flow, Server->second);
+  SentBytes_ += Spec.Bytes_.size();
   // Connections are pooled by instance, as a later instance may get the
   // address.
   Flow.Attempts_.back().Handle_ = Connections_.send(
-      Start.Server_, *Endpoint, makeAttemptSpec(Flow, Server->second),
+      Start.Server_, *Endpoint, std::move(Spec),
       [this, At = Flow.Index_, Id = Start.Server_](AttemptResult Result) {
         onAttemptEnd(At, Id, std::move(Result));
       });
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -9,6 +9,7 @@
 #include "steering/attempt_outcome_func.h"
 #include "steering/client_flow_type.h"
 #include "steering/server_locator_base.h"
+#include "steering/vm_load_monitor_base.h"
 #include "version/route_table_base.h"
 
 #include <functional>
@@ -51,6 +52,13 @@
   /// Records a failure, after which traffic may move to other regions.
   void recordFailure() { ShiftGate_.recordFailure(getNow()); }
 
+  /// Lifts the limit on shifts between regions from the first request on, as
+  /// this process has restarted.
+  void liftShiftLimit() { ShiftGate_.liftFromFirstRequest(); }
+
+  /// \return Counters of the traffic since the start.
+  TrafficCounters getTraffic() const { return {NextFlow_ - 1, SentBytes_}; }
+
   /// Sets the time at which the process exits. Requests with a later deadline
   /// are rejected from now on.
   void setShutdownDeadline(Time End) { ShutdownDeadline_ = End; }
@@ -142,6 +150,7 @@
   std::function<void()> OnRateLimit_;                      ///< See the setter.
   Time ShutdownDeadline_ = Time::max(); ///< Time at which the process exits.
   uint64_t NextFlow_ = 1;               ///< Index of the next flow.
+  uint64_t SentBytes_ = 0;              ///< See getTraffic().
 };
 
 } // namespace cranberry
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -63,7 +63,7 @@
       Router_(Loop_, Settings_, Log_, Metrics_),
       Peers_(Loop_, makeSelf(Incarnation), Settings_.HeartbeatPeriod_, Log_,
              [this] { onMembersChanged(); }),
-      RateShares_(Loop_, Router_, Peers_, Log_),
+      RateShares_(Loop_, Router_, Peers_, Log_), VmLoad_(Settings_),
       ClientPort_(
           Loop_,
           [this](const IngressExchangePtr &E) { Router_.handleRequest(E); }),
@@ -76,6 +76,8 @@
       TickTimer_(Loop_), AnnounceTimer_(Loop_),
       Signals_(Loop_, SIGTERM, SIGINT, SIGHUP) {
   Log_.setMaxLinesPerSecond(Settings_.LogLinesPerSecond_);
+  if (!Settings_.IsFirstStart_)
+    Router_.liftShiftLimit();
   Peers_.setRequestHandler([this](const IngressExchangePtr &E) {
     if (E->getMessage().target() == RateShareExchange::Path)
       RateShares_.handleReport(E);
@@ -99,6 +101,7 @@
   Self.HttpAddress_ = Choose(Settings_.HttpAdvertise_, Settings_.Http_);
   Self.PeerAddress_ = Choose(Settings_.PeerAdvertise_, Settings_.Peer_);
   Self.Incarnation_ = Incarnation;
+  Self.Strength_ = getVmStrength(Settings_);
   return Self;
 }
 
@@ -217,6 +220,7 @@
   updateReader();
   updateRouterServers();
   Router_.closeIdleConnections();
+  updateLoad();
   Metrics_.observeAge("servers", View_.getServerAge(getNow()));
   if (getNow() >= NextRateLog_) {
     NextRateLog_ = getNow() + RecentStarts::Window;
@@ -234,6 +238,15 @@
   });
 }
 
+void SteeringVm::updateLoad() {
+  bool WasBusy = VmLoad_.isBusy();
+  VmLoad_.update(Router_.getTraffic(), TickPeriod, getNow());
+  if (VmLoad_.isBusy() != WasBusy)
+    Log_.write(getNow(), "vm-load",
+               {{"busy", VmLoad_.isBusy() ? 1 : 0}, {"use", VmLoad_.getUse()}});
+  Peers_.setBusy(VmLoad_.isBusy());
+}
+
 void SteeringVm::updateReader() {
   Time Now = getNow();
   if (View_.isStoreUnavailable())
@@ -348,6 +361,7 @@
                     static_cast<double>(View_.getVersion()));
   Metrics_.setGauge("cranberry_entry_vms", "known",
                     static_cast<double>(MemberCount_));
+  Metrics_.setGauge("cranberry_vm_use", "all", VmLoad_.getUse());
   Metrics_.setGauge("cranberry_store_calls", "all",
                     static_cast<double>(Store_.getCallCount()));
   Metrics_.setGauge("cranberry_log_lines_dropped", "all",
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -11,6 +11,7 @@
 #include "steering/rate_share_exchange_base.h"
 #include "steering/request_router_base.h"
 #include "steering/store_view_base.h"
+#include "steering/vm_load_monitor_base.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -50,6 +51,7 @@
   void tick();
   void reloadSettings();
   void updateReader();
+  void updateLoad();
   void waitForSignal();
   void startShutdown();
   void pollShutdown();
@@ -70,6 +72,7 @@
   RequestRouter Router_;         ///< Routes client requests.
   PeerExchange Peers_;           ///< Heartbeats with other entry VMs.
   RateShareExchange RateShares_; ///< Shares of servers' request rates.
+  VmLoadMonitor VmLoad_;         ///< Load of this VM.
   IngressServer ClientPort_;     ///< Port for clients.
   IngressServer ReadinessPort_;  ///< Port for readiness checks.
   IngressServer LookupPort_;     ///< Port for look-ups.
