Fix: [Platform] An odd entry of another writer costs that entry only

Cause: a number beyond double, such as 1e999, makes the JSON parser refuse the whole page, so a VM stops following the servers. A value nested 200,000 deep is parsed, but copying, comparing and relaying it is recursive: the process ends with SIGSEGV, on every VM and after every restart. Half surrogate pairs refuse a page as well; slots of 2^32 + 1 counted as 1, and an address with a port out of range as a server. Times and loads out of range overflowed when they were cast.

Change: json_text rewrites a foreign text in one pass before it is parsed; what is out of range becomes a string, so that the entry has a wrong type and is refused with a log line. Limits on slots, addresses, durations and header values.

--- a/src/core/duration.cpp
+++ b/src/core/duration.cpp
@@ -19,6 +19,9 @@
   double Value = 0;
   if (Unit == 0 || !absl::SimpleAtod(Text.substr(0, Digits), &Value))
     return std::nullopt;
+  constexpr double Most = 1e15; // 31 years.
+  if (Value * Unit > Most)
+    return std::nullopt;
   return Duration(static_cast<int64_t>(Value * Unit));
 }
 
--- a/src/core/duration_func.h
+++ b/src/core/duration_func.h
@@ -11,7 +11,8 @@
 
 /// Parses a non-negative number with the suffix "ms" or "s", such as "1500ms"
 /// or "2.5s".
-/// \return The duration, or std::nullopt if \p Text has another form.
+/// \return The duration, or std::nullopt if \p Text has another form or
+/// the time exceeds 31 years.
 std::optional<Duration> parseDuration(const std::string &Text);
 
 /// \return \p Value multiplied by \p Factor, truncated to whole microseconds.
--- a/src/platform/decode.cpp
+++ b/src/platform/decode.cpp
@@ -3,6 +3,8 @@
 
 #include "core/duration_func.h"
 #include "net/http_target_func.h"
+#include "net/ingress_server_base.h"
+#include "platform/json_text_func.h"
 #include "platform/wire_names.h"
 
 #include <absl/strings/ascii.h>
@@ -10,7 +12,9 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <algorithm>
 #include <cmath>
+#include <limits>
 
 using nlohmann::json;
 
@@ -18,6 +22,13 @@
 
 namespace {
 
+/// Limits of values that others write, far above those in use.
+constexpr unsigned MaxServerSlots = 65535;
+constexpr unsigned MaxReportedLoad = 100000;
+constexpr double MaxClientTimeoutMs = 24 * 3600 * 1000.0;
+constexpr int64_t MaxColdMs = 3600 * 1000;
+constexpr int64_t MaxWatchWaitMs = 3600 * 1000;
+
 std::string toString(boost::beast::string_view Text) {
   return {Text.data(), Text.size()};
 }
@@ -48,12 +59,26 @@
 
   unsigned getCount(const char *Name) {
     const json *Value = find(Name);
-    if (Value && Value->is_number_integer() && Value->get<int64_t>() >= 0)
+    constexpr int64_t Most = std::numeric_limits<int32_t>::max();
+    // An unsigned value above the range of int64_t is negative here.
+    if (Value && Value->is_number_integer() && Value->get<int64_t>() >= 0 &&
+        Value->get<int64_t>() <= Most)
       return Value->get<unsigned>();
-    reportError(Name, "not a non-negative integer");
+    reportError(Name, "not an integer from 0 to 2147483647");
     return 0;
   }
 
+  /// \return The whole number, limited to those that a double can hold.
+  int64_t getInteger(const char *Name) {
+    constexpr double Most = 9007199254740992; // 2^53
+    return static_cast<int64_t>(std::clamp(getNumber(Name), -Most, Most));
+  }
+
+  /// \return The revision, which is never negative.
+  Revision getRevision(const char *Name) {
+    return static_cast<Revision>(std::max<int64_t>(getInteger(Name), 0));
+  }
+
   bool getBool(const char *Name) {
     const json *Value = find(Name);
     if (Value && Value->is_boolean())
@@ -105,21 +130,6 @@
   bool IsValid_ = true; ///< Whether no error occurred so far.
 };
 
-/// Parses JSON and replaces bytes that aren't printable ASCII, so that a single
-/// entry with invalid bytes doesn't make the whole list unreadable.
-json parseJson(std::string Text) {
-  constexpr unsigned char FirstPrintable = 0x20;
-  constexpr unsigned char LastAscii = 0x7e;
-  for (char &C : Text) {
-    auto Byte = static_cast<unsigned char>(C);
-    if (Byte < FirstPrintable && C != '\n' && C != '\r' && C != '\t')
-      C = ' ';
-    else if (Byte > LastAscii)
-      C = '?';
-  }
-  return json::parse(Text, nullptr, false);
-}
-
 std::optional<StoreObject> decodeObject(const json &Value, Reason &Why) {
   FieldReader Fields(Value, Why);
   if (!Fields.has("metadata")) {
@@ -129,7 +139,7 @@
   FieldReader Meta(Value["metadata"], Why);
   StoreObject Result;
   Result.Name_ = Meta.getString("name");
-  Result.Revision_ = static_cast<Revision>(Meta.getNumber("revision"));
+  Result.Revision_ = Meta.getRevision("revision");
   if (auto Body = Value.find("specification"); Body != Value.end())
     Result.Body_ = *Body;
   if (!Meta.isValid())
@@ -207,14 +217,29 @@
       !absl::SimpleAtoi(Parts[0], &Result.Running_) ||
       !absl::SimpleAtoi(Parts[1], &Result.Queued_))
     return std::nullopt;
+  Result.Running_ = std::min(Result.Running_, MaxReportedLoad);
+  Result.Queued_ = std::min(Result.Queued_, MaxReportedLoad);
   double Percent = 0;
   constexpr double Whole = 100;
   if (Parts.size() > InterferencePart &&
-      absl::SimpleAtod(Parts[InterferencePart], &Percent) && Percent > 0)
+      absl::SimpleAtod(Parts[InterferencePart], &Percent) &&
+      std::isfinite(Percent) && Percent > 0)
     Result.Interference_ = Percent / Whole;
   return Result;
 }
 
+/// Decodes a Retry-After field in seconds, with or without a fraction.
+/// \return The time, at most MaxServerRetryAfter; nothing for a date, a
+/// negative number or anything else.
+std::optional<Duration> decodeRetryAfter(const std::string &Text) {
+  double Wait = 0;
+  if (!absl::SimpleAtod(Text, &Wait) || std::isnan(Wait) || Wait < 0)
+    return std::nullopt;
+  double Most = std::chrono::duration<double>(MaxServerRetryAfter).count();
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(Wait, Most)));
+}
+
 /// \return The requests per second, or nothing if \p Text is not a valid rate.
 std::optional<double> decodeRate(const std::string &Text) {
   double Rate = 0;
@@ -243,7 +268,8 @@
   double Patience = 0;
   if (absl::SimpleAtod(toString(Request[header::Deadline]), &Patience) &&
       Patience >= 0)
-    Result.Timeout_ = milliseconds(static_cast<int64_t>(Patience));
+    Result.Timeout_ = milliseconds(
+        static_cast<int64_t>(std::min(Patience, MaxClientTimeoutMs)));
   return Result;
 }
 
@@ -258,7 +284,13 @@
   Result.RateLimit_ = decodeRate(toString(Response[header::RateLimit]));
   int64_t Cold = 0;
   if (absl::SimpleAtoi(toString(Response[header::ColdRemaining]), &Cold))
-    Result.ColdRemaining_ = milliseconds(Cold);
+    Result.ColdRemaining_ =
+        milliseconds(std::clamp<int64_t>(Cold, 0, MaxColdMs));
+  Result.IsLeaving_ = Response[header::Leaving] == "1";
+  constexpr unsigned Unavailable = 503;
+  if (Response.result_int() == Unavailable)
+    Result.RetryAfter_ = decodeRetryAfter(
+        toString(Response[boost::beast::http::field::retry_after]));
   return Result;
 }
 
@@ -360,11 +392,13 @@
   if (Fields.has("coldRemaining"))
     Result.ColdRemaining_ = Fields.getDuration("coldRemaining");
   if (Fields.has("born"))
-    Result.StartTimeMs_ = static_cast<int64_t>(Fields.getNumber("born"));
+    Result.StartTimeMs_ = Fields.getInteger("born");
   if (Fields.has("sequence"))
-    Result.Sequence_ = static_cast<int64_t>(Fields.getNumber("sequence"));
-  if (Result.Slots_ == 0)
-    Fields.reportError("slots", "zero");
+    Result.Sequence_ = Fields.getInteger("sequence");
+  if (Result.Slots_ == 0 || Result.Slots_ > MaxServerSlots)
+    Fields.reportError("slots", "not from 1 to 65535");
+  if (!parseEndpoint(Result.Address_))
+    Fields.reportError("address", "not an IPv4 address with a port");
   if (!Fields.isValid())
     return std::nullopt;
   return Result;
@@ -372,16 +406,16 @@
 
 std::optional<StoreObject> decodeObjectBody(const std::string &Body,
                                             Reason &Why) {
-  return decodeObject(parseJson(Body), Why);
+  return decodeObject(parseForeignJson(Body), Why);
 }
 
 std::optional<StorePage> decodePage(const std::string &Body, Reason &Why) {
-  json Root = parseJson(Body);
+  json Root = parseForeignJson(Body);
   FieldReader Fields(Root, Why);
   StorePage Result;
   const json &Items = Fields.getList("items");
   Result.HasMore_ = Fields.has("hasMore") && Fields.getBool("hasMore");
-  Result.Revision_ = static_cast<Revision>(Fields.getNumber("storeRevision"));
+  Result.Revision_ = Fields.getRevision("storeRevision");
   if (!Fields.isValid())
     return std::nullopt;
   for (const json &Item : Items) {
@@ -394,11 +428,11 @@
 
 std::optional<StoreChanges> decodeChanges(const std::string &Body,
                                           Reason &Why) {
-  json Root = parseJson(Body);
+  json Root = parseForeignJson(Body);
   FieldReader Fields(Root, Why);
   StoreChanges Result;
   const json &Events = Fields.getList("events");
-  Result.Revision_ = static_cast<Revision>(Fields.getNumber("storeRevision"));
+  Result.Revision_ = Fields.getRevision("storeRevision");
   if (!Fields.isValid())
     return std::nullopt;
   for (const json &Event : Events) {
@@ -435,7 +469,7 @@
       !absl::SimpleAtoi(Query["waitMs"], &Wait) || Wait < 0)
     return std::nullopt;
   Result.WatchFrom_ = Known;
-  Result.Wait_ = milliseconds(Wait);
+  Result.Wait_ = milliseconds(std::min(Wait, MaxWatchWaitMs));
   return Result;
 }
 
--- a/src/platform/decode_func.h
+++ b/src/platform/decode_func.h
@@ -29,11 +29,18 @@
   bool IsNotExecuted_ = false;     ///< Whether the server skipped execution.
   std::optional<LoadReport> Load_; ///< Load, if reported.
   std::optional<Duration>
-      ColdRemaining_; ///< Remaining cold phase, if reported.
+      ColdRemaining_;      ///< Remaining cold phase, if reported.
+  bool IsLeaving_ = false; ///< Whether the server is about to stop.
+  /// Time for which the server wants no more requests, if it refused this one.
+  std::optional<Duration> RetryAfter_;
   /// Requests per second that the server accepts in total, if limited.
   std::optional<double> RateLimit_;
 };
 
+/// Longest time for which a server can keep requests away. A server that needs
+/// longer says so again.
+inline constexpr Duration MaxServerRetryAfter = seconds(60);
+
 /// Parameters of a client's look-up of entry VMs.
 struct LookupQuery {
   std::string Host_;   ///< Host that the client connects to.
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -16,6 +16,8 @@
 inline constexpr const char *Load = "X-Cranberrypost-Server-Load";
 /// Requests per second that the server accepts from all entry VMs together.
 inline constexpr const char *RateLimit = "Server-Limit";
+/// Set to 1 by a server that is about to stop, in all its responses.
+inline constexpr const char *Leaving = "Server-Leaving";
 /// Set by the store: increases each time that it is restored from a copy.
 /// Lower case, as the HTTP client reports names that way.
 inline constexpr const char *Era = "store-era";
--- a/src/steering/rate_report_codec.cpp
+++ b/src/steering/rate_report_codec.cpp
@@ -3,12 +3,17 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 using nlohmann::json;
 
 namespace cranberry {
 
 namespace {
 
+/// Older limits have expired long before.
+constexpr int64_t MaxAgeMs = 3600 * 1000;
+
 json encodeEntries(const std::vector<RateEntry> &Entries, Time Now) {
   json Result = json::array();
   for (const RateEntry &Each : Entries)
@@ -29,7 +34,9 @@
     Each.PerSecond_ = Value.at("perSecond");
     if (const json &Limit = Value.at("limit"); !Limit.is_null())
       Each.Limit_.PerSecond_ = Limit.get<double>();
-    Each.Limit_.NamedAt_ = Now - milliseconds(Value.at("ageMs").get<int64_t>());
+    auto AgeMs = Value.at("ageMs").get<int64_t>();
+    Each.Limit_.NamedAt_ =
+        Now - milliseconds(std::clamp<int64_t>(AgeMs, 0, MaxAgeMs));
     Result.push_back(std::move(Each));
   }
   return Result;
