Fix: [Steering] Servers that announce their departure get no more requests

Cause: a server says in its answers that it leaves, before or without its entry in the store saying so; the answer was ignored. What an answer with 421 had shown was forgotten when the entry was removed and listed again.

Change: recordLeaving keeps the start of the server that announced it, until a later start is listed, or ten minutes after its entry is gone: neither a new list, a restored store nor a relay with an older state changes that. A refusal without an id counts on a new connection only; on another the outcome is unknown.

Other VMs learn it from their own answers or from the store; telling them by heartbeat is left.

--- a/src/net/attempt_type.h
+++ b/src/net/attempt_type.h
@@ -44,7 +44,10 @@
   Invalid,      ///< Response to no known request; the connection is closed.
 };
 
-using ResponseMatcher = std::function<ResponseMatch(const ResponseMessage &)>;
+/// Matches a response with the current request.
+/// \param IsFirstRequest Whether the connection has carried no request before.
+using ResponseMatcher = std::function<ResponseMatch(
+    const ResponseMessage &Response, bool IsFirstRequest)>;
 
 /// A serialized request and the parameters of its connection.
 struct AttemptSpec {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -47,7 +47,7 @@
   AttemptSpec Spec;
   Spec.Bytes_ = serializeRequest(Message);
   Spec.IsHeadRequest_ = Call.Method_ == "HEAD";
-  Spec.Matcher_ = [](const ResponseMessage &) {
+  Spec.Matcher_ = [](const ResponseMessage &, bool) {
     return ResponseMatch::Matching;
   };
   Spec.ConnectTimeout_ = std::min(Call.Timeout_, Call.ConnectTimeout_);
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace http = boost::beast::http;
@@ -38,6 +39,9 @@
 /// Idle timeout assumed if the server does not send one.
 constexpr Duration DefaultIdleTimeout = seconds(4);
 
+/// Longer idle timeouts of servers are taken for this one.
+constexpr int64_t MaxIdleSeconds = 3600;
+
 /// Fraction of the server's idle timeout after which a connection is no longer
 /// reused. The margin prevents a request from racing with the server's close.
 constexpr double IdleTimeoutFraction = 0.6;
@@ -212,8 +216,9 @@
   Parser_.reset();
   Budget_->update(this, 0);
   bool IsInterim = Response.result_int() < FirstFinal;
-  ResponseMatch Match =
-      IsInterim ? ResponseMatch::OtherRequest : Spec_.Matcher_(Response);
+  ResponseMatch Match = IsInterim
+                            ? ResponseMatch::OtherRequest
+                            : Spec_.Matcher_(Response, !HasCarriedRequest_);
   if (Match == ResponseMatch::OtherRequest && (IsInterim || KeepsAlive) &&
       ++SkippedResponses_ <= MaxSkippedResponses)
     return;
@@ -236,8 +241,9 @@
     int64_t Timeout = 0;
     if (Token.first == "timeout" &&
         absl::SimpleAtoi(std::string(Token.second), &Timeout))
-      Idle = std::chrono::duration_cast<Duration>(seconds(Timeout) *
-                                                  IdleTimeoutFraction);
+      Idle = std::chrono::duration_cast<Duration>(
+          seconds(std::clamp<int64_t>(Timeout, 0, MaxIdleSeconds)) *
+          IdleTimeoutFraction);
   }
   IdleDeadline_ = IdleSince_ + Idle;
 }
--- a/src/request/balancer_type.h
+++ b/src/request/balancer_type.h
@@ -84,6 +84,8 @@
   ServerAttemptOutcome Outcome_ = ServerAttemptOutcome::Lost;
   Duration Ran_{0};                ///< Time from send to end.
   std::optional<LoadReport> Load_; ///< Load report in the response, if any.
+  /// Time for which the server wants no more requests, if it named one.
+  std::optional<Duration> RetryAfter_;
 };
 
 /// Use of a server that limits its request rate.
--- a/src/steering/attempt_outcome.cpp
+++ b/src/steering/attempt_outcome.cpp
@@ -28,6 +28,19 @@
 
 } // namespace
 
+ResponseMatch matchResponse(const ResponseMessage &Response,
+                            const std::string &AttemptId, bool IsFirstRequest) {
+  platform::ServerResponseInfo Info = platform::decodeServerResponse(Response);
+  if (Info.AttemptId_ == AttemptId)
+    return ResponseMatch::Matching;
+  if (!Info.AttemptId_.empty())
+    return ResponseMatch::OtherRequest;
+  // On a connection that was used before, a refusal without an id may be that
+  // of an earlier request, sent again.
+  return Info.IsNotExecuted_ && IsFirstRequest ? ResponseMatch::Matching
+                                               : ResponseMatch::Invalid;
+}
+
 bool isNotRunStatus(unsigned Status) {
   return Status == RequestTimeout || Status == Misdirected ||
          Status == TooManyRequests || Status == Unavailable;
--- a/src/steering/attempt_outcome_func.h
+++ b/src/steering/attempt_outcome_func.h
@@ -22,6 +22,11 @@
 inline constexpr const char *AttemptOutcomeNames[] = {
     "deliver", "server-failed", "not-sent", "not-run", "unknown"};
 
+/// Matches a response with the attempt \p AttemptId of a client.
+/// \param IsFirstRequest Whether its connection has carried no request before.
+ResponseMatch matchResponse(const ResponseMessage &Response,
+                            const std::string &AttemptId, bool IsFirstRequest);
+
 /// Classifies the end of an attempt. This is the only place that decides
 /// whether a request wasn't executed.
 AttemptOutcome classifyAttempt(const AttemptResult &Result,
--- a/src/steering/client_flow_type.h
+++ b/src/steering/client_flow_type.h
@@ -35,6 +35,7 @@
 struct InFlightAttempt {
   StartAttempt Start_;   ///< Decision of the balancer.
   Time SentAt_;          ///< Time of sending.
+  int64_t StartTimeMs_;  ///< Start of the server, as registered.
   AttemptHandle Handle_; ///< Cancels the attempt.
 };
 
--- a/src/steering/request_router_attempts.cpp
+++ b/src/steering/request_router_attempts.cpp
@@ -53,15 +53,9 @@
   AttemptSpec Spec;
   Spec.Bytes_ = serializeRequest(Message);
   Spec.IsHeadRequest_ = Message.method() == http::verb::head;
-  Spec.Matcher_ = [Id = Flow.Id_](const ResponseMessage &Response) {
-    platform::ServerResponseInfo Info =
-        platform::decodeServerResponse(Response);
-    if (Info.AttemptId_ == Id)
-      return ResponseMatch::Matching;
-    if (Info.AttemptId_.empty())
-      return Info.IsNotExecuted_ ? ResponseMatch::Matching
-                                 : ResponseMatch::Invalid;
-    return ResponseMatch::OtherRequest;
+  Spec.Matcher_ = [Id = Flow.Id_](const ResponseMessage &Response,
+                                  bool IsFirstRequest) {
+    return matchResponse(Response, Id, IsFirstRequest);
   };
   Spec.ConnectTimeout_ = Locator_.getConnectTimeout(Server.Zone_);
   Spec.MaxIdleTime_ =
@@ -92,7 +86,7 @@
               {"queue", Start.Queue_},
               {"expectedMs", Start.Expected_},
               {"version", Flow.Config_->Version_}});
-  Flow.Attempts_.push_back({Start, Now, {}});
+  Flow.Attempts_.push_back({Start, Now, Server->second.StartTimeMs_, {}});
   Flow.LastServer_ = Start.Server_;
   Flow.Request_.ExcludedServers_.push_back(Start.Server_);
   ++Flow.ServerCount_;
@@ -167,8 +161,10 @@
   Ended.Server_ = Attempt.Start_.Server_;
   Ended.Outcome_ = getVerdict(Outcome);
   Ended.Ran_ = Now - Attempt.SentAt_;
-  if (Result.Status_ == AttemptStatus::Answered)
+  if (Result.Status_ == AttemptStatus::Answered) {
     Ended.Load_ = Info.Load_;
+    Ended.RetryAfter_ = Info.RetryAfter_;
+  }
   ServicePool &Pool = *Flow.Pool_;
   Pool.Balancer_.endAttempt(Ended, Now);
   // Only the server's own responses show that a limit has ended.
@@ -202,6 +198,7 @@
               {"ranMs", Ended.Ran_},
               {"expectedMs", Attempt.Start_.Expected_},
               {"reused", Result.IsConnectionReused_ ? 1 : 0},
+              {"retryAfterMs", Info.RetryAfter_.value_or(Duration(0))},
               {"servers", Flow.ServerCount_},
               {"budgetLeft", Pool.RetryBudget_.getRemaining(Now)}});
 }
@@ -223,14 +220,30 @@
       platform::decodeServerResponse(Result.Response_);
   AttemptOutcome Outcome = classifyAttempt(Result, Info);
   recordAttemptEnd(Flow, Attempt, Result, Info, Outcome);
-  constexpr unsigned Misdirected = 421;
-  if (Result.Status_ == AttemptStatus::Answered &&
-      Result.Response_.result_int() == Misdirected && OnMisdirected_)
-    OnMisdirected_(Server);
+  checkLeaving(Flow, Attempt, Result, Info);
   scheduleStep(*Flow.Pool_);
   handleOutcome(Flow, Outcome, std::move(Result));
 }
 
+void RequestRouter::checkLeaving(const ClientFlow &Flow,
+                                 const InFlightAttempt &Attempt,
+                                 const AttemptResult &Result,
+                                 const platform::ServerResponseInfo &Info) {
+  constexpr unsigned Misdirected = 421;
+  if (Result.Status_ != AttemptStatus::Answered || !OnLeaving_)
+    return;
+  bool IsMisdirected = Result.Response_.result_int() == Misdirected;
+  const std::string &Server = Attempt.Start_.Server_;
+  if ((!Info.IsLeaving_ && !IsMisdirected) ||
+      !OnLeaving_(Server, Attempt.StartTimeMs_))
+    return;
+  Log_.write(getNow(), "server-leaving",
+             {{"server", Server},
+              {"service", Flow.Pool_->Name_},
+              {"cause", IsMisdirected ? "misdirected" : "announced"},
+              {"usable", static_cast<uint64_t>(Flow.Pool_->Servers_.size())}});
+}
+
 bool RequestRouter::tryRetry(ClientFlow &Flow, AttemptOutcome Outcome) {
   Time Now = getNow();
   ServicePool &Pool = *Flow.Pool_;
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -43,11 +43,15 @@
   /// Routes a client's request and responds to it, now or later.
   void handleRequest(const IngressExchangePtr &Exchange);
 
-  /// \param Action Called with the instance id when another server responds at
-  /// a registered address.
-  void setOnMisdirected(std::function<void(const std::string &)> Action) {
-    OnMisdirected_ = std::move(Action);
-  }
+  /// Records that the start \p StartTimeMs of a server must get no more
+  /// requests.
+  /// \return Whether this is news.
+  using LeavingHandler =
+      std::function<bool(const std::string &Server, int64_t StartTimeMs)>;
+
+  /// \param Action Called when a server says that it leaves, or when another
+  /// one responds at its address.
+  void setOnLeaving(LeavingHandler Action) { OnLeaving_ = std::move(Action); }
 
   /// Records a failure, after which traffic may move to other regions.
   void recordFailure() { ShiftGate_.recordFailure(getNow()); }
@@ -122,6 +126,9 @@
                         const AttemptResult &Result,
                         const platform::ServerResponseInfo &Info,
                         AttemptOutcome Outcome);
+  void checkLeaving(const ClientFlow &Flow, const InFlightAttempt &Attempt,
+                    const AttemptResult &Result,
+                    const platform::ServerResponseInfo &Info);
   bool tryRetry(ClientFlow &Flow, AttemptOutcome Outcome);
   void handleOutcome(ClientFlow &Flow, AttemptOutcome Outcome,
                      AttemptResult Result);
@@ -145,9 +152,9 @@
   std::map<std::string, std::unique_ptr<ServicePool>> Pools_; ///< By service.
   std::map<std::string, WeightedRoundRobin> Pickers_;         ///< By route.
   absl::flat_hash_map<uint64_t, std::unique_ptr<ClientFlow>>
-      Flows_; ///< Requests in flight.
-  std::function<void(const std::string &)> OnMisdirected_; ///< See the setter.
-  std::function<void()> OnRateLimit_;                      ///< See the setter.
+      Flows_;                           ///< Requests in flight.
+  LeavingHandler OnLeaving_;            ///< See the setter.
+  std::function<void()> OnRateLimit_;   ///< See the setter.
   Time ShutdownDeadline_ = Time::max(); ///< Time at which the process exits.
   uint64_t NextFlow_ = 1;               ///< Index of the next flow.
   uint64_t SentBytes_ = 0;              ///< See getTraffic().
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -84,9 +84,10 @@
     else
       View_.handleRelayRequest(E);
   });
-  Router_.setOnMisdirected([this](const std::string &Server) {
-    View_.recordLeaving(Server);
+  Router_.setOnLeaving([this](const std::string &Server, int64_t StartTimeMs) {
+    bool IsNews = View_.recordLeaving(Server, StartTimeMs);
     updateRouterServers();
+    return IsNews;
   });
 }
 
@@ -186,7 +187,8 @@
   // An earlier process of this VM wrote an entry. It remains valid if the
   // address is the same.
   if (Earlier && Earlier->Body_.is_object() &&
-      Earlier->Body_.value("peer", "") == Peers_.getSelf().PeerAddress_)
+      Earlier->Body_.contains("peer") &&
+      Earlier->Body_["peer"] == Peers_.getSelf().PeerAddress_)
     return;
   if (Earlier) {
     Store_.replace(platform::kind::EntryVms, Settings_.Vm_, Earlier->Revision_,
--- a/src/steering/store_view_base.h
+++ b/src/steering/store_view_base.h
@@ -64,8 +64,10 @@
 
   /// Records that a server is leaving or that another one responds at its
   /// address.
-  void recordLeaving(const std::string &Server) {
-    Registry_.recordLeaving(Server);
+  /// \param StartTimeMs Start of the server that the request was meant for.
+  /// \return Whether this is news.
+  bool recordLeaving(const std::string &Server, int64_t StartTimeMs) {
+    return Registry_.recordLeaving(Server, StartTimeMs, getNow());
   }
 
   const ServerRegistry &getRegistry() const { return Registry_; }
--- a/src/version/server_registry.cpp
+++ b/src/version/server_registry.cpp
@@ -12,6 +12,10 @@
 /// and entries of servers that are gone expire within seconds.
 constexpr Duration RollbackMemory = seconds(60);
 
+/// How long leaving servers without an entry are remembered. Copies of the
+/// store and relays are some seconds old at most.
+constexpr Duration LeavingMemory = std::chrono::minutes(10);
+
 bool isNewer(const ServerRecord &Record, int64_t StartTimeMs,
              int64_t Sequence) {
   return Record.StartTimeMs_ > StartTimeMs ||
@@ -78,8 +82,6 @@
                 Known.Record_.Slots_ == Record.Slots_ &&
                 Known.Record_.IsDraining_ == Record.IsDraining_ &&
                 Known.Record_.StartTimeMs_ == Record.StartTimeMs_;
-  if (Known.Record_.StartTimeMs_ != Record.StartTimeMs_)
-    Known.IsLeaving_ = false;
   Time ColdUntil = Record.ColdRemaining_ > Duration(0)
                        ? Now + Record.ColdRemaining_
                        : Known.ColdUntil_;
@@ -138,12 +140,23 @@
   ++Version_;
 }
 
-void ServerRegistry::recordLeaving(const std::string &Id) {
-  auto Found = Entries_.find(Id);
-  if (Found == Entries_.end() || Found->second.IsLeaving_)
-    return;
-  Found->second.IsLeaving_ = true;
+bool ServerRegistry::recordLeaving(const std::string &Id, int64_t StartTimeMs,
+                                   Time Now) {
+  auto [Found, IsNew] =
+      Leaving_.try_emplace(Id, LeavingStart{StartTimeMs, Now});
+  LeavingStart &Known = Found->second;
+  Known.RecordedAt_ = Now;
+  if (!IsNew && Known.StartTimeMs_ >= StartTimeMs)
+    return false;
+  Known.StartTimeMs_ = StartTimeMs;
   ++Version_;
+  return true;
+}
+
+bool ServerRegistry::isLeaving(const ServerRecord &Record) const {
+  auto Found = Leaving_.find(Record.InstanceId_);
+  return Found != Leaving_.end() &&
+         Record.StartTimeMs_ <= Found->second.StartTimeMs_;
 }
 
 void ServerRegistry::recordCold(const std::string &Id, Time Until) {
@@ -165,6 +178,11 @@
   std::erase_if(Removed_, [Now](const auto &Pair) {
     return Pair.second.RemovedAt_ + RollbackMemory <= Now;
   });
+  // A listed server stays leaving however long it takes.
+  std::erase_if(Leaving_, [&](const auto &Pair) {
+    return !Entries_.contains(Pair.first) &&
+           Pair.second.RecordedAt_ + LeavingMemory <= Now;
+  });
   if (Entries_.size() != Before)
     ++Version_;
 }
@@ -172,7 +190,7 @@
 std::vector<UsableServer> ServerRegistry::getUsableServers() const {
   std::vector<UsableServer> Result;
   for (const auto &[Id, Known] : Entries_)
-    if (!Known.Record_.IsDraining_ && !Known.IsLeaving_ &&
+    if (!Known.Record_.IsDraining_ && !isLeaving(Known.Record_) &&
         !EvacuatedZones_.count(Known.Record_.Zone_))
       Result.push_back({Known.Record_, Known.ColdUntil_});
   return Result;
--- a/src/version/server_registry_base.h
+++ b/src/version/server_registry_base.h
@@ -64,8 +64,11 @@
                          Duration ColdDuration, Time Now);
 
   /// Records that a server announced its shutdown, or that another instance
-  /// responded at its address.
-  void recordLeaving(const std::string &Id);
+  /// responded at its address. Neither a new listing nor a restored store makes
+  /// it usable again, only an entry of a later start.
+  /// \param StartTimeMs Start of the server that the request was meant for.
+  /// \return Whether this is news.
+  bool recordLeaving(const std::string &Id, int64_t StartTimeMs, Time Now);
 
   /// Records that a server is cold until \p Until.
   void recordCold(const std::string &Id, Time Until);
@@ -90,11 +93,16 @@
   struct Entry {
     ServerRecord Record_;          ///< Newest registration.
     Time ColdUntil_;               ///< Expected end of the cold phase.
-    bool IsLeaving_ = false;       ///< See recordLeaving().
     std::optional<Time> RemoveAt_; ///< End of the grace period, once known.
     bool IsExpired_ = false;       ///< Expired during an outage; still usable.
   };
 
+  /// Start of a server that is leaving, see recordLeaving().
+  struct LeavingStart {
+    int64_t StartTimeMs_; ///< Start time of the server.
+    Time RecordedAt_;     ///< Time of the last report.
+  };
+
   /// Newest registration of a server that was removed.
   struct RemovedEntry {
     int64_t StartTimeMs_; ///< Start time of the server.
@@ -105,6 +113,7 @@
   void storeRecord(const ServerRecord &Record, Time Now);
   bool isOutdated(const ServerRecord &Record, Time Now) const;
   void recordRemoval(const Entry &Removed, Time Now);
+  bool isLeaving(const ServerRecord &Record) const;
 
   /// Handles the loss of an entry in the store. During an outage and the grace
   /// period after it, the entry is only marked as expired.
@@ -114,6 +123,8 @@
   absl::flat_hash_map<std::string, Entry> Entries_; ///< Entries by instance id.
   /// Recently removed entries by instance id.
   std::map<std::string, RemovedEntry> Removed_;
+  /// Leaving servers by instance id.
+  std::map<std::string, LeavingStart> Leaving_;
   std::set<std::string> EvacuatedZones_; ///< Zones without new requests.
   bool IsStoreLost_ = false;             ///< Whether the store is unavailable.
   std::optional<Time> StoreRestoredAt_;  ///< End of the last outage.
--- a/standin/routed_server.cpp
+++ b/standin/routed_server.cpp
@@ -69,6 +69,21 @@
   Thread_.call([&] { RateLimit_ = PerSecond; });
 }
 
+void RoutedServer::setLeaving(bool IsLeaving) {
+  Thread_.call([&] { IsLeaving_ = IsLeaving; });
+}
+
+void RoutedServer::setRetryAfter(std::string Text) {
+  Thread_.call([&] { RetryAfter_ = std::move(Text); });
+}
+
+void RoutedServer::setStateFields(ResponseMessage &Response) const {
+  if (RateLimit_)
+    Response.set(platform::header::RateLimit, absl::StrCat(*RateLimit_));
+  if (IsLeaving_)
+    Response.set(platform::header::Leaving, "1");
+}
+
 std::vector<ServerRun> RoutedServer::getRuns() {
   return Thread_.call([&] { return Runs_; });
 }
@@ -90,8 +105,9 @@
     ResponseMessage Refusal =
         makeResponse(IsOther ? Misdirected : Unavailable, "");
     Refusal.set(platform::header::NotExecuted, "1");
-    if (RateLimit_)
-      Refusal.set(platform::header::RateLimit, absl::StrCat(*RateLimit_));
+    if (!RetryAfter_.empty())
+      Refusal.set(boost::beast::http::field::retry_after, RetryAfter_);
+    setStateFields(Refusal);
     Exchange->respond(Refusal);
     return;
   }
@@ -137,8 +153,7 @@
     Response.set(platform::header::Signature, Id_);
   Response.set(platform::header::Load,
                absl::StrCat(Running_, ",0,", Slots_, ",100"));
-  if (RateLimit_)
-    Response.set(platform::header::RateLimit, absl::StrCat(*RateLimit_));
+  setStateFields(Response);
   Exchange->respond(Response);
 }
 
--- a/standin/routed_server_base.h
+++ b/standin/routed_server_base.h
@@ -59,6 +59,12 @@
   /// Names a limit in all responses from now on, or none.
   /// \param PerSecond Requests per second from all entry VMs together.
   void setRateLimit(std::optional<double> PerSecond);
+
+  /// Says in all responses from now on that the server is leaving, or not.
+  void setLeaving(bool IsLeaving);
+
+  /// Adds a Retry-After field to refusals; empty for none.
+  void setRetryAfter(std::string Text);
   std::vector<ServerRun> getRuns();
   unsigned getArrivals();
 
@@ -70,12 +76,15 @@
   void handle(const IngressExchangePtr &Exchange);
   void run(const IngressExchangePtr &Exchange);
   void finish(const IngressExchangePtr &Exchange);
+  void setStateFields(ResponseMessage &Response) const;
 
   std::string Id_;       ///< Instance id.
   unsigned Slots_;       ///< Maximum number of concurrent requests.
   Duration ServiceTime_; ///< Service time of each request.
   ResponseFault Fault_ = ResponseFault::None; ///< Fault being injected.
   std::optional<double> RateLimit_;           ///< Limit that responses name.
+  bool IsLeaving_ = false;                    ///< See setLeaving().
+  std::string RetryAfter_;                    ///< See setRetryAfter().
   unsigned Running_ = 0;                      ///< Number of requests in flight.
   unsigned Arrivals_ = 0;                     ///< Number of requests received.
   unsigned Cancelled_ = 0;                    ///< Number of cancelled runs.
--- a/test/unit/endless_response_test.cpp
+++ b/test/unit/endless_response_test.cpp
@@ -87,7 +87,7 @@
   Spec.Bytes_ = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
   Spec.ConnectTimeout_ = seconds(10);
   Spec.MaxIdleTime_ = seconds(10);
-  Spec.Matcher_ = [](const ResponseMessage &Response) {
+  Spec.Matcher_ = [](const ResponseMessage &Response, bool) {
     return Response["X-Id"] == "1" ? ResponseMatch::Matching
                                    : ResponseMatch::OtherRequest;
   };
--- a/test/unit/routing_test.cpp
+++ b/test/unit/routing_test.cpp
@@ -283,7 +283,8 @@
   CHECK(getIds(Registry) == Ids{"c"});
   CHECK(Registry.applyChange({makeRecord("a"), true}, Now) ==
         ServerChangeKind::Expected);
-  Registry.recordLeaving("c");
+  CHECK(Registry.recordLeaving("c", 0, Now));
+  CHECK_FALSE(Registry.recordLeaving("c", 0, Now));
   CHECK(getIds(Registry).empty());
   // A later start time under the same id means a new server process.
   ServerRecord Restarted = makeRecord("c");
--- a/test/unit/steering_connection_test.cpp
+++ b/test/unit/steering_connection_test.cpp
@@ -2,6 +2,7 @@
 #include "net/connection_pool_base.h"
 #include "net/http_message_func.h"
 #include "net/ingress_server_base.h"
+#include "test/support/scripted_server_base.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,95 +13,12 @@
 #include <deque>
 
 using namespace cranberry;
+using namespace cranberry::test;
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
 namespace {
 
-/// Limit on each wait; conditions normally hold far sooner.
-constexpr Duration LoopTimeout = seconds(20);
-
-/// Runs \p Loop until \p Condition holds or LoopTimeout has passed.
-/// \return Whether the condition holds.
-template <typename F>
-bool runUntil(boost::asio::io_context &Loop, F Condition) {
-  Time End = getNow() + LoopTimeout;
-  while (!Condition() && getNow() < End) {
-    Loop.restart();
-    Loop.run_one_for(milliseconds(5));
-  }
-  return Condition();
-}
-
-/// A server that responds to each request head with the next scripted step.
-class ScriptedServer {
-public:
-  /// Response to one request, and whether the connection is closed after it.
-  struct Step {
-    std::string Bytes_;   ///< Bytes to send.
-    bool Closes_ = false; ///< Close the connection afterwards.
-    bool Resets_ = false; ///< Reset the connection afterwards.
-  };
-
-  ScriptedServer(boost::asio::io_context &Loop, std::deque<Step> Steps)
-      : Acceptor_(Loop,
-                  tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
-        Steps_(std::move(Steps)) {
-    accept();
-  }
-
-  tcp::endpoint getEndpoint() const { return Acceptor_.local_endpoint(); }
-
-  int Connections_ = 0; ///< Connections accepted so far.
-  int Requests_ = 0;    ///< Request heads read so far.
-
-private:
-  struct Session {
-    explicit Session(tcp::socket Socket) : Socket_(std::move(Socket)) {}
-    tcp::socket Socket_; ///< Connection to the client.
-    std::string Input_;  ///< Bytes read and not handled yet.
-    std::string Output_; ///< Bytes being written.
-  };
-
-  void accept() {
-    Acceptor_.async_accept([this](error_code Error, tcp::socket Socket) {
-      if (Error)
-        return;
-      ++Connections_;
-      serve(std::make_shared<Session>(std::move(Socket)));
-      accept();
-    });
-  }
-
-  void serve(const std::shared_ptr<Session> &Current) {
-    boost::asio::async_read_until(
-        Current->Socket_, boost::asio::dynamic_buffer(Current->Input_),
-        "\r\n\r\n", [this, Current](error_code Error, size_t Count) {
-          if (Error || Steps_.empty())
-            return;
-          Current->Input_.erase(0, Count);
-          ++Requests_;
-          Step Next = Steps_.front();
-          Steps_.pop_front();
-          Current->Output_ = Next.Bytes_;
-          boost::asio::async_write(
-              Current->Socket_, boost::asio::buffer(Current->Output_),
-              [this, Current, Next](error_code Failed, size_t) {
-                if (Next.Resets_)
-                  Current->Socket_.set_option(
-                      boost::asio::socket_base::linger(true, 0));
-                if (Failed || Next.Closes_ || Next.Resets_)
-                  Current->Socket_.close();
-                else
-                  serve(Current);
-              });
-        });
-  }
-
-  tcp::acceptor Acceptor_; ///< Accepts connections.
-  std::deque<Step> Steps_; ///< Remaining steps.
-};
-
 std::string makeResponseBytes(const std::string &Id, const std::string &Body,
                               const std::string &More = "") {
   return "HTTP/1.1 200 OK\r\nX-Id: " + Id +
@@ -113,7 +31,7 @@
   Spec.Bytes_ = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
   Spec.ConnectTimeout_ = seconds(10);
   Spec.MaxIdleTime_ = seconds(10);
-  Spec.Matcher_ = [Id](const ResponseMessage &Response) {
+  Spec.Matcher_ = [Id](const ResponseMessage &Response, bool) {
     std::string ReceivedId(Response["X-Id"]);
     if (ReceivedId == Id)
       return ResponseMatch::Matching;
@@ -123,16 +41,6 @@
   return Spec;
 }
 
-/// Sends a request and runs \p Loop until the attempt has ended.
-AttemptResult send(boost::asio::io_context &Loop, ConnectionPool &Pool,
-                   const tcp::endpoint &Server, AttemptSpec Spec) {
-  std::optional<AttemptResult> End;
-  Pool.send("server", Server, std::move(Spec),
-            [&End](AttemptResult Result) { End = std::move(Result); });
-  REQUIRE(runUntil(Loop, [&End] { return End.has_value(); }));
-  return std::move(*End);
-}
-
 /// A client that writes raw bytes and collects those that it receives.
 struct RawClient {
   RawClient(boost::asio::io_context &Loop, const std::string &Address)
@@ -187,12 +95,14 @@
   ScriptedServer Server(
       Loop, {{makeResponseBytes("1", "one")}, {makeResponseBytes("2", "two")}});
   ConnectionPool Pool(Loop);
-  AttemptResult First = send(Loop, Pool, Server.getEndpoint(), makeSpec("1"));
+  AttemptResult First =
+      sendAttempt(Loop, Pool, Server.getEndpoint(), makeSpec("1"));
   CHECK(First.Status_ == AttemptStatus::Answered);
   CHECK(First.Response_.body() == "one");
   CHECK_FALSE(First.IsConnectionReused_);
   CHECK(First.ConnectTime_);
-  AttemptResult Second = send(Loop, Pool, Server.getEndpoint(), makeSpec("2"));
+  AttemptResult Second =
+      sendAttempt(Loop, Pool, Server.getEndpoint(), makeSpec("2"));
   CHECK(Second.Response_.body() == "two");
   CHECK(Second.IsConnectionReused_);
   CHECK(Server.Connections_ == 1);
@@ -204,7 +114,8 @@
   ScriptedServer Server(
       Loop, {{makeResponseBytes("0", "old") + makeResponseBytes("1", "one")}});
   ConnectionPool Pool(Loop);
-  AttemptResult End = send(Loop, Pool, Server.getEndpoint(), makeSpec("1"));
+  AttemptResult End =
+      sendAttempt(Loop, Pool, Server.getEndpoint(), makeSpec("1"));
   CHECK(End.Status_ == AttemptStatus::Answered);
   CHECK(End.Response_.body() == "one");
 }
@@ -216,10 +127,10 @@
     ScriptedServer Server(Loop, {{makeResponseBytes("1", "one") + Extra},
                                  {makeResponseBytes("2", "two")}});
     ConnectionPool Pool(Loop);
-    CHECK(send(Loop, Pool, Server.getEndpoint(), makeSpec("1"))
+    CHECK(sendAttempt(Loop, Pool, Server.getEndpoint(), makeSpec("1"))
               .Response_.body() == "one");
     AttemptResult Second =
-        send(Loop, Pool, Server.getEndpoint(), makeSpec("2"));
+        sendAttempt(Loop, Pool, Server.getEndpoint(), makeSpec("2"));
     CHECK(Second.Response_.body() == "two");
     CHECK(Server.Connections_ == 2);
   }
@@ -274,7 +185,8 @@
     boost::asio::io_context Loop;
     ScriptedServer Server(Loop, {Each.Step_});
     ConnectionPool Pool(Loop);
-    AttemptResult End = send(Loop, Pool, Server.getEndpoint(), makeSpec("1"));
+    AttemptResult End =
+        sendAttempt(Loop, Pool, Server.getEndpoint(), makeSpec("1"));
     CHECK(End.Status_ == Each.End_);
     if (Each.End_ == AttemptStatus::Answered)
       CHECK(End.Response_.body() == "whole");
@@ -289,16 +201,14 @@
              {makeResponseBytes("2", "two", "Connection: close\r\n")},
              {makeResponseBytes("3", "three")}});
   ConnectionPool Pool(Loop);
-  send(Loop, Pool, Server.getEndpoint(), makeSpec("1"));
+  sendAttempt(Loop, Pool, Server.getEndpoint(), makeSpec("1"));
   // Lets the idle connection notice the close.
   Loop.restart();
   Loop.run_for(milliseconds(50));
-  CHECK(
-      send(Loop, Pool, Server.getEndpoint(), makeSpec("2")).Response_.body() ==
-      "two");
-  CHECK(
-      send(Loop, Pool, Server.getEndpoint(), makeSpec("3")).Response_.body() ==
-      "three");
+  CHECK(sendAttempt(Loop, Pool, Server.getEndpoint(), makeSpec("2"))
+            .Response_.body() == "two");
+  CHECK(sendAttempt(Loop, Pool, Server.getEndpoint(), makeSpec("3"))
+            .Response_.body() == "three");
   CHECK(Server.Connections_ == 3);
 }
 
@@ -310,7 +220,7 @@
   tcp::endpoint Endpoint = Closed.local_endpoint();
   Closed.close();
   ConnectionPool Pool(Loop);
-  CHECK(send(Loop, Pool, Endpoint, makeSpec("1")).Status_ ==
+  CHECK(sendAttempt(Loop, Pool, Endpoint, makeSpec("1")).Status_ ==
         AttemptStatus::ConnectReset);
 }
 
