Fix: [Request] A server that names a time to wait gets no requests until then

If all preferred servers of an object are away, the request goes to any other of the service; if all are, it is refused at once with the time until the first returns.

--- a/src/request/region_shift_limiter_base.h
+++ b/src/request/region_shift_limiter_base.h
@@ -76,13 +76,13 @@
   /// lifted.
   static constexpr double MinSampleSize = 20;
 
-  double MaxWindowGrowth_ = 0;  ///< Maximum growth of all shares per window.
-  double AvailableGrowth_ = 0;  ///< Growth that is available now.
-  double TotalRequests_ = 0;    ///< All requests within the window.
-  std::deque<Step> Steps_;      ///< Counts within the window, oldest first.
-  std::vector<Region> Regions_; ///< Regions that requests were sent to.
-  Time Updated_;                ///< Time of the last update of the window.
-  Time UnlimitedUntil_;         ///< The limit is lifted until then.
+  double MaxWindowGrowth_ = 0;     ///< Maximum growth of all shares per window.
+  double AvailableGrowth_ = 0;     ///< Growth that is available now.
+  double TotalRequests_ = 0;       ///< All requests within the window.
+  std::deque<Step> Steps_;         ///< Counts within the window, oldest first.
+  std::vector<Region> Regions_;    ///< Regions that requests were sent to.
+  Time Updated_;                   ///< Time of the last update of the window.
+  Time UnlimitedUntil_;            ///< The limit is lifted until then.
   bool IsLiftedFromFirst_ = false; ///< See liftFromFirstRequest().
 };
 
--- a/src/request/server_state.cpp
+++ b/src/request/server_state.cpp
@@ -51,6 +51,7 @@
     Slowness_ = 1;
     FailureShare_ = 0;
     BackoffUntil_ = Time();
+    UnwantedUntil_ = Time();
     BackoffDelay_ = Duration(0);
     IsProbing_ = false;
   }
@@ -101,6 +102,8 @@
   Attempts_.erase(Found);
   if (Ended.Load_)
     recordLoad(*Ended.Load_, Now);
+  if (Ended.RetryAfter_)
+    UnwantedUntil_ = std::max(UnwantedUntil_, Now + *Ended.RetryAfter_);
   ServerAttemptOutcome Verdict = Ended.Outcome_;
   bool IsFailure = Verdict != ServerAttemptOutcome::Served;
   if (Verdict != ServerAttemptOutcome::Withdrawn)
@@ -166,7 +169,8 @@
 }
 
 bool ServerState::isAvailable(Time Now) {
-  if (Now < BackoffUntil_ || (IsProbing_ && !Attempts_.empty()))
+  if (Now < BackoffUntil_ || wantsNoRequests(Now) ||
+      (IsProbing_ && !Attempts_.empty()))
     return false;
   if (isCold(Now) && (Now < Config_.ColdStartsFrom_ ||
                       !ColdStartLimiter_.canStart(Config_.ColdStartRate_, Now)))
--- a/src/request/server_state_base.h
+++ b/src/request/server_state_base.h
@@ -52,6 +52,14 @@
   /// \return Whether the server accepts attempts now, apart from its slots.
   bool isAvailable(Time Now);
 
+  /// \return Whether the server wants no requests from this VM now, as it has
+  /// answered one with a time to wait.
+  bool wantsNoRequests(Time Now) const { return Now < UnwantedUntil_; }
+
+  /// \return End of the backoff and of the time that the server named, or a
+  /// time in the past.
+  Time getBackoffEnd() const { return std::max(BackoffUntil_, UnwantedUntil_); }
+
   /// \return Expected wait for a slot and for the rate limit, behind \p Planned
   /// requests that are queued on this VM for the same server. Requires
   /// isAvailable().
@@ -125,6 +133,7 @@
   double FailureShare_ = 0;  ///< Smoothed share of attempts that failed.
   Time LastResponse_;        ///< Time of the last response of any kind.
   Time BackoffUntil_;        ///< End of the backoff.
+  Time UnwantedUntil_;       ///< See wantsNoRequests().
   Duration BackoffDelay_{0}; ///< Length of the last backoff.
   bool IsProbing_ = false; ///< Allows one attempt at a time until it responds.
 };
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -49,6 +49,9 @@
 constexpr Duration MinRetryAfter = milliseconds(100);
 constexpr Duration MaxRetryAfter = seconds(1);
 
+/// The same if no server accepts requests before.
+constexpr Duration MaxBackoffRetryAfter = seconds(10);
+
 /// Interval of step() while requests are queued, as estimates change with time.
 constexpr Duration QueuePollInterval = milliseconds(10);
 
@@ -81,8 +84,22 @@
     Usable_.push_back(State.get());
   }
   Placement_.setServers(Usable_);
-  absl::erase_if(Servers_, [&](const auto &Entry) {
-    return !Listed.count(Entry.first) && Entry.second->getInFlight() == 0;
+  Unlisted_.clear();
+  for (const auto &[Id, State] : Servers_)
+    if (!Listed.count(Id))
+      Unlisted_.push_back(Id);
+  NoServerUntil_ = Time();
+}
+
+void ServiceBalancer::removeUnlisted(Time Now) {
+  std::erase_if(Unlisted_, [&](const std::string &Id) {
+    auto Found = Servers_.find(Id);
+    // A server that is listed again must still get no requests if it wants
+    // none.
+    if (Found->second->getInFlight() > 0 || Found->second->wantsNoRequests(Now))
+      return false;
+    Servers_.erase(Found);
+    return true;
   });
 }
 
@@ -214,49 +231,72 @@
   return ++BypassedFirstServer_ % ReturnInterval == 0;
 }
 
-ServiceBalancer::Candidate
-ServiceBalancer::chooseServer(const WaitingRequest &Request,
-                              const Plan &Planned, Time Now) {
+ServiceBalancer::Choice
+ServiceBalancer::evaluateServers(const WaitingRequest &Request,
+                                 const std::vector<PreferredServer> &Servers,
+                                 const Plan &Planned, Time Now) {
   ServiceTimeEstimate Work = getServiceTime(Request);
-  Candidate Best;
-  Candidate BestOtherRegion;     // Within the limit of moves to other regions.
-  Candidate CheapestOtherRegion; // Regardless of the limit.
-  Candidate FirstServer;
-  // Lowest cost if servers had no rate limits.
-  ServerState *Wanted = nullptr;
-  Duration WantedCost = Duration::max();
-  for (const PreferredServer &Where : Placement_.getServers(Request.Key_)) {
+  Choice Result;
+  for (const PreferredServer &Where : Servers) {
     ServerState *Server = Where.Server_;
-    if (!canUse(Request, Server->getConfig()) || !Server->isAvailable(Now))
+    const BackendServerConfig &Config = Server->getConfig();
+    if (!canUse(Request, Config) || !Server->isAvailable(Now))
       continue;
-    bool IsOtherRegion =
-        Server->getConfig().Proximity_ == Proximity::OtherRegion;
+    bool IsOtherRegion = Config.Proximity_ == Proximity::OtherRegion;
     auto Found = Planned.find(Server);
     Candidate Next = evaluateServer(
         Request, Where, Work, Found == Planned.end() ? 0 : Found->second, Now);
-    if (Duration Cost = Next.Cost_ - Next.RateWait_; Cost < WantedCost) {
-      Wanted = Server;
-      WantedCost = Cost;
+    if (Duration Cost = Next.Cost_ - Next.RateWait_;
+        Cost < Result.WantedCost_) {
+      Result.Wanted_ = Server;
+      Result.WantedCost_ = Cost;
     }
     if (Request.Key_ != 0 && Where.Rank_ == 0 && !IsOtherRegion)
-      FirstServer = Next;
-    if (!IsOtherRegion && isCheaper(Next, Best))
-      Best = Next;
-    if (IsOtherRegion && isCheaper(Next, CheapestOtherRegion))
-      CheapestOtherRegion = Next;
-    if (IsOtherRegion && isCheaper(Next, BestOtherRegion) &&
-        ShiftLimiter_.canSendTo(Server->getConfig().Region_, Now))
-      BestOtherRegion = Next;
+      Result.FirstServer_ = Next;
+    if (!IsOtherRegion && isCheaper(Next, Result.Best_))
+      Result.Best_ = Next;
+    if (IsOtherRegion && isCheaper(Next, Result.CheapestOtherRegion_))
+      Result.CheapestOtherRegion_ = Next;
+    if (IsOtherRegion && isCheaper(Next, Result.BestOtherRegion_) &&
+        ShiftLimiter_.canSendTo(Config.Region_, Now))
+      Result.BestOtherRegion_ = Next;
   }
-  if (Wanted && Wanted->getRateWait(0, Now) > Duration(0))
-    Wanted->getRateLimiter().recordShortage();
+  return Result;
+}
+
+ServiceBalancer::Candidate
+ServiceBalancer::chooseServer(const WaitingRequest &Request,
+                              const Plan &Planned, Time Now) {
+  Choice Found = evaluateServers(Request, Placement_.getServers(Request.Key_),
+                                 Planned, Now);
+  // The preferred servers may all be away or want no requests.
+  if (Found.isEmpty() && Request.Key_ != 0 && Now >= NoServerUntil_) {
+    Found = evaluateServers(Request, Placement_.getServers(0), Planned, Now);
+    if (Found.isEmpty())
+      NoServerUntil_ = Now + QueuePollInterval;
+  }
+  if (Found.Wanted_ && Found.Wanted_->getRateWait(0, Now) > Duration(0))
+    Found.Wanted_->getRateLimiter().recordShortage();
+  Candidate &Best = Found.Best_;
   // Without a server in this region the limit does not apply.
   if (!Best.Server_)
-    Best = CheapestOtherRegion;
-  else if (BestOtherRegion.Server_ && isCheaper(BestOtherRegion, Best))
-    Best = BestOtherRegion;
-  return shouldWarmFirstServer(Request, FirstServer, Best, Now) ? FirstServer
-                                                                : Best;
+    Best = Found.CheapestOtherRegion_;
+  else if (Found.BestOtherRegion_.Server_ &&
+           isCheaper(Found.BestOtherRegion_, Best))
+    Best = Found.BestOtherRegion_;
+  return shouldWarmFirstServer(Request, Found.FirstServer_, Best, Now)
+             ? Found.FirstServer_
+             : Best;
+}
+
+Duration ServiceBalancer::getTimeUntilAvailable(const WaitingRequest &Request,
+                                                Time Now) const {
+  Time First = Time::max();
+  for (const ServerState *Server : Usable_)
+    if (canUse(Request, Server->getConfig()))
+      First = std::min(First, Server->getBackoffEnd());
+  return First == Time::max() ? Duration(0)
+                              : std::max(First - Now, Duration(0));
 }
 
 bool ServiceBalancer::hasServer(const WaitingRequest &Request) const {
@@ -282,10 +322,13 @@
   if (!hasServer(Request))
     return Result;
   Result.Cause_ = RefusalCause::NoRoom;
+  Duration Wait =
+      Best.Server_ ? Best.Wait_ : getTimeUntilAvailable(Request, Now);
   Duration Finish =
-      Best.Server_ ? Best.Finish_ : getServiceTime(Request).HitTime_;
+      Best.Server_ ? Best.Finish_ : Wait + getServiceTime(Request).HitTime_;
   Result.Predicted_ = Finish;
-  Result.RetryAfter_ = std::clamp(Best.Wait_, MinRetryAfter, MaxRetryAfter);
+  Result.RetryAfter_ = std::clamp(
+      Wait, MinRetryAfter, Best.Server_ ? MaxRetryAfter : MaxBackoffRetryAfter);
   if (Now + Finish >= Request.Deadline_)
     return Result;
   bool InTime = Now + Finish <= Request.ObjectiveAt_;
@@ -320,6 +363,7 @@
 std::vector<BalancerAction> ServiceBalancer::step(Time Now) {
   std::vector<BalancerAction> Out;
   reportSuspects(Now, Out);
+  removeUnlisted(Now);
   if (Waiting_.empty())
     return Out;
   sortWaiting(Now);
--- a/src/request/service_balancer_base.h
+++ b/src/request/service_balancer_base.h
@@ -110,8 +110,29 @@
   bool shouldWarmFirstServer(const WaitingRequest &Request,
                              const Candidate &FirstServer,
                              const Candidate &Best, Time Now);
+  /// The cheapest servers for a request.
+  struct Choice {
+    Candidate Best_;                ///< In this region.
+    Candidate BestOtherRegion_;     ///< Within the limit of shifts.
+    Candidate CheapestOtherRegion_; ///< Regardless of the limit.
+    /// First server of the object in this region.
+    Candidate FirstServer_;
+    /// Server of the lowest cost if servers had no rate limits.
+    ServerState *Wanted_ = nullptr;
+    Duration WantedCost_ = Duration::max(); ///< Cost of Wanted_.
+
+    bool isEmpty() const {
+      return !Best_.Server_ && !CheapestOtherRegion_.Server_;
+    }
+  };
+
+  Choice evaluateServers(const WaitingRequest &Request,
+                         const std::vector<PreferredServer> &Servers,
+                         const Plan &Planned, Time Now);
   Candidate chooseServer(const WaitingRequest &Request, const Plan &Planned,
                          Time Now);
+  Duration getTimeUntilAvailable(const WaitingRequest &Request, Time Now) const;
+  void removeUnlisted(Time Now);
   static bool hasLostItsTime(const WaitingRequest &Request,
                              const Candidate &Best, Time Now);
   bool hasServer(const WaitingRequest &Request) const;
@@ -125,7 +146,11 @@
   RegionShiftLimiter &ShiftLimiter_;  ///< Limits moves to other regions.
   ServerMap Servers_;                 ///< All known servers by instance id.
   std::vector<ServerState *> Usable_; ///< Servers that accept requests.
-  ObjectPlacement Placement_;         ///< Preferred servers of objects.
+  /// Servers that no longer accept requests but are still needed.
+  std::vector<std::string> Unlisted_;
+  /// Until then, requests don't search all servers in vain.
+  Time NoServerUntil_;
+  ObjectPlacement Placement_; ///< Preferred servers of objects.
   /// Cache hit ratio at an object's first server, for objects that this VM has
   /// not sent there recently.
   double FirstServerHitRatio_ = 0.5;
