Fix: [Standin] Refusals of backend servers carry the attempt's id

Cause: servers echo the id in all their responses, but the stand-in left it out of refusals.

Conclusion: the stand-in was wrong; no check is changed.

--- a/standin/routed_server.cpp
+++ b/standin/routed_server.cpp
@@ -105,6 +105,8 @@
     ResponseMessage Refusal =
         makeResponse(IsOther ? Misdirected : Unavailable, "");
     Refusal.set(platform::header::NotExecuted, "1");
+    Refusal.set(platform::header::AttemptId,
+                toString(Message[platform::header::AttemptId]));
     if (!RetryAfter_.empty())
       Refusal.set(boost::beast::http::field::retry_after, RetryAfter_);
     setStateFields(Refusal);
