Change: [Steering] Few entry VMs call the store, also a troubled one

All VMs watched the entries of the entry VMs, so that each start or stop returned 78 watches; a relay that was behind sent all its VMs to the store, which listed three kinds there; a store that was away was listed by each follower.

Change: VmDiscovery lists the entry VMs at the start, until heartbeats reach one, and later rarely and stale, at a total rate that doesn't grow with the fleet. The VMs of a zone have an order of at most four readers: if one fails or says that it can't read the store, the next one does, asked by the others; those behind them wait rather than call. A VM that starts reads from its zone's reader once a heartbeat has reached it. While the servers can't be read, the other kinds wait. Encoded lists are kept for the many that ask.

--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -62,10 +62,15 @@
     : Address_(std::move(Address)), Timeouts_(Limits), Client_(Loop) {}
 
 void StoreClient::list(const std::string &Kind, const std::string &After,
-                       StoreResponseHandler End) {
+                       StoreResponseHandler End, ReadMode Mode) {
   std::string Target = absl::StrCat(path::Objects, Kind);
-  if (!After.empty())
+  char Separator = '?';
+  if (!After.empty()) {
     absl::StrAppend(&Target, "?after=", After);
+    Separator = '&';
+  }
+  if (Mode == ReadMode::MayBeStale)
+    absl::StrAppend(&Target, std::string(1, Separator), "staleRead=1");
   sendRequest("GET", Target, "", Timeouts_.Call_, std::move(End));
 }
 
--- a/src/platform/store_client_base.h
+++ b/src/platform/store_client_base.h
@@ -36,6 +36,12 @@
 inline constexpr StoreCallTimeouts RelayTimeouts{
     milliseconds(350), milliseconds(350), milliseconds(200)};
 
+/// Age of the data that a list may return.
+enum class ReadMode : uint8_t {
+  Latest,     ///< All acknowledged writes are included.
+  MayBeStale, ///< May be seconds old, at a tenth of the price.
+};
+
 using StoreResponseHandler = std::function<void(StoreResponse)>;
 
 /// Makes calls to one store. Each call is a single request without retries.
@@ -49,8 +55,9 @@
 
   /// Lists objects of a kind.
   /// \param After Lists only names after this one; empty for the first page.
+  /// \param Mode Age that the data may have.
   void list(const std::string &Kind, const std::string &After,
-            StoreResponseHandler End);
+            StoreResponseHandler End, ReadMode Mode = ReadMode::Latest);
 
   /// Waits for changes of a kind after a revision.
   /// \param Wait Longest time that the store holds the request open.
--- a/src/process/store_reader_func.h
+++ b/src/process/store_reader_func.h
@@ -4,17 +4,49 @@
 
 #include "process/member_type.h"
 
+#include <set>
+#include <string>
+
 namespace cranberry {
 
+/// Where an entry VM gets store updates from.
+enum class StoreSource : uint8_t {
+  Store, ///< From the store.
+  Vm,    ///< From another entry VM, which relays what it reads.
+  None,  ///< From nowhere for now; the last known state stays in use.
+};
+
+/// Names of sources in logs, in the order of the enum.
+inline constexpr const char *StoreSourceNames[] = {"store", "vm", "none"};
+
+/// Selected source of store updates.
+struct StoreSourceChoice {
+  StoreSource Source_ = StoreSource::Store; ///< Kind of the source.
+  const Member *Vm_ = nullptr; ///< The entry VM, if that is the source.
+};
+
+/// Peer addresses of entry VMs that recently failed as a source.
+struct FailedReaders {
+  std::set<std::string> Silent_; ///< Gave no answer.
+  std::set<std::string> Behind_; ///< Answered that they can't read the store.
+};
+
+/// Number of entry VMs of a zone that may read the store, one at a time while
+/// none fails.
+inline constexpr size_t MaxReadersPerZone = 4;
+
 /// Selects the source of store updates for \p Self.
 ///
-/// One entry VM of each zone reads the store and relays it to the others of the
-/// zone. All VMs that have the same member list select the same reader.
-/// \param IsStoreLost Whether \p Self can't read the store. Then the reader of
-/// a zone follows another entry VM, of its own region if possible.
-/// \return The entry VM to follow, or null if \p Self is to read the store.
-const Member *selectStoreReader(const MemberList &Members, const Member &Self,
-                                bool IsStoreLost);
+/// The VMs of a zone have a common order, by rendezvous hash. The first one
+/// reads the store and relays it to the others; if it fails, the second one
+/// does, and so on up to MaxReadersPerZone. So the number of VMs that call a
+/// troubled store doesn't grow with the fleet: a VM behind those in the order
+/// reads the store itself only if all of them are silent.
+/// \param IsStoreLost Whether \p Self can't read the store. Then it follows
+/// another entry VM, of its own zone or region if possible.
+StoreSourceChoice selectStoreSource(const MemberList &Members,
+                                    const Member &Self, bool IsStoreLost,
+                                    const FailedReaders &Failed);
 
 } // namespace cranberry
 
--- a/src/steering/peer_exchange_base.h
+++ b/src/steering/peer_exchange_base.h
@@ -34,6 +34,9 @@
     RequestHandler_ = std::move(Handler);
   }
 
+  /// Sends the next heartbeats at once.
+  void contactNow() { sendHeartbeats(); }
+
   /// Adds the peer address of an entry VM that was discovered in another way.
   void addSeed(const std::string &Address) { Membership_.addSeed(Address); }
 
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -29,6 +29,17 @@
 /// effect within this time.
 constexpr Duration SettingsCheckInterval = seconds(2);
 
+/// After a VM has failed as a source of store updates, others are used for this
+/// long. By then it is suspect or has recovered.
+constexpr Duration FailedReaderDelay = seconds(3);
+
+/// A VM reads the store for this long after another one has asked it to.
+constexpr Duration ReaderWantedDuration = seconds(5);
+
+/// A VM that has started waits this long for contact with another one, from
+/// which it can read what the store holds.
+constexpr Duration ContactWait = milliseconds(400);
+
 /// A VM that can't read the store follows another one for this long before it
 /// tries the store again. Each attempt takes up to a second without updates.
 constexpr Duration FallbackReaderDuration = seconds(10);
@@ -73,7 +84,12 @@
                   [this](const IngressExchangePtr &E) { handleLookup(E); }),
       MetricsPort_(Loop_,
                    [this](const IngressExchangePtr &E) { handleMetrics(E); }),
-      TickTimer_(Loop_), AnnounceTimer_(Loop_),
+      Discovery_(Loop_, Store_, Log_, Peers_.getSelf().PeerAddress_,
+                 Incarnation,
+                 [this](const std::vector<std::string> &Peers) {
+                   onVmsListed(Peers);
+                 }),
+      TickTimer_(Loop_), AnnounceTimer_(Loop_), StartTimer_(Loop_),
       Signals_(Loop_, SIGTERM, SIGINT, SIGHUP) {
   Log_.setMaxLinesPerSecond(Settings_.LogLinesPerSecond_);
   if (!Settings_.IsFirstStart_)
@@ -117,10 +133,42 @@
     if (!IsStopping_)
       announce();
   };
-  Result.OnEntryVm_ = [this](const std::string &Peer) { Peers_.addSeed(Peer); };
+  Result.OnReaderFailed_ = [this](const std::string &Peer, bool IsBehind) {
+    FailedReaders_[Peer] = {getNow() + FailedReaderDelay, IsBehind};
+    updateReader();
+  };
+  Result.OnReaderWanted_ = [this] {
+    ReaderWantedUntil_ = getNow() + ReaderWantedDuration;
+    if (View_.getSource() != StoreSource::Store)
+      updateReader();
+  };
   return Result;
 }
 
+void SteeringVm::onVmsListed(const std::vector<std::string> &Peers) {
+  for (const std::string &Peer : Peers)
+    Peers_.addSeed(Peer);
+  if (IsReading_)
+    return;
+  if (Peers.empty()) {
+    startReading();
+    return;
+  }
+  Peers_.contactNow();
+  StartTimer_.expires_after(ContactWait);
+  StartTimer_.async_wait([this](error_code Cancelled) {
+    if (!Cancelled)
+      startReading();
+  });
+}
+
+void SteeringVm::startReading() {
+  if (IsReading_)
+    return;
+  IsReading_ = true;
+  updateReader();
+}
+
 bool SteeringVm::start(Reason &Why) {
   bool IsOpen = ClientPort_.open(Settings_.Http_, Why) &&
                 LookupPort_.open(Settings_.Directory_, Why) &&
@@ -134,7 +182,7 @@
              {{"zone", Settings_.Zone_},
               {"incarnation", Peers_.getSelf().Incarnation_},
               {"http", ClientPort_.getAddress()}});
-  View_.start();
+  Discovery_.start();
   RateShares_.start();
   announce();
   tick();
@@ -162,6 +210,9 @@
   if (Members.size() < MemberCount_)
     Router_.recordFailure();
   MemberCount_ = Members.size();
+  Discovery_.setMemberCount(Members.size());
+  if (Members.size() > 1 && StartTimer_.expiry() > getNow())
+    startReading();
 }
 
 nlohmann::json SteeringVm::makeVmEntry() const {
@@ -250,13 +301,24 @@
 }
 
 void SteeringVm::updateReader() {
+  if (!IsReading_)
+    return;
   Time Now = getNow();
   if (View_.isStoreUnavailable())
     FallbackReaderUntil_ = Now + FallbackReaderDuration;
+  std::erase_if(FailedReaders_, [Now](const auto &Entry) {
+    return Entry.second.Until_ <= Now;
+  });
+  FailedReaders Failed;
+  for (const auto &[Peer, Failure] : FailedReaders_)
+    (Failure.IsBehind_ ? Failed.Behind_ : Failed.Silent_).insert(Peer);
+  bool IsStoreLost = Now < FallbackReaderUntil_;
   const MemberList Vms = Peers_.getMembers();
-  const Member *Reader = cranberry::selectStoreReader(
-      Vms, Peers_.getSelf(), Now < FallbackReaderUntil_);
-  View_.setReader(Reader ? Reader->PeerAddress_ : "");
+  StoreSourceChoice Choice;
+  if (IsStoreLost || Now >= ReaderWantedUntil_)
+    Choice = selectStoreSource(Vms, Peers_.getSelf(), IsStoreLost, Failed);
+  View_.setSource(Choice.Source_,
+                  Choice.Vm_ ? Choice.Vm_->PeerAddress_ : std::string());
 }
 
 void SteeringVm::reloadSettings() {
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -11,13 +11,16 @@
 #include "steering/rate_share_exchange_base.h"
 #include "steering/request_router_base.h"
 #include "steering/store_view_base.h"
+#include "steering/vm_discovery_base.h"
 #include "steering/vm_load_monitor_base.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <map>
 #include <string>
+#include <vector>
 
 namespace cranberry {
 
@@ -40,6 +43,12 @@
   void run();
 
 private:
+  /// A VM that failed as a source of store updates.
+  struct FailedReader {
+    Time Until_;    ///< Time until which others are used.
+    bool IsBehind_; ///< Whether it answered that it can't read the store.
+  };
+
   Member makeSelf(uint64_t Incarnation) const;
   StoreViewHandlers makeViewHandlers();
   nlohmann::json makeVmEntry() const;
@@ -51,6 +60,8 @@
   void tick();
   void reloadSettings();
   void updateReader();
+  void onVmsListed(const std::vector<std::string> &Peers);
+  void startReading();
   void updateLoad();
   void waitForSignal();
   void startShutdown();
@@ -77,9 +88,14 @@
   IngressServer ReadinessPort_;  ///< Port for readiness checks.
   IngressServer LookupPort_;     ///< Port for look-ups.
   IngressServer MetricsPort_;    ///< Port for metrics.
+  VmDiscovery Discovery_;        ///< Finds other entry VMs.
   boost::asio::steady_timer TickTimer_;     ///< Timer of periodic work.
   boost::asio::steady_timer AnnounceTimer_; ///< Timer of the next registration.
-  boost::asio::signal_set Signals_;         ///< Shutdown and reload.
+  boost::asio::steady_timer StartTimer_;    ///< Ends the wait for contact.
+  std::map<std::string, FailedReader> FailedReaders_; ///< By peer address.
+  Time ReaderWantedUntil_;              ///< Reads the store until then.
+  bool IsReading_ = false;              ///< Whether store updates are read.
+  boost::asio::signal_set Signals_;     ///< Shutdown and reload.
   uint64_t AppliedRegistryVersion_ = 0; ///< Last version passed to the router.
   size_t MemberCount_ = 0;        ///< Number of entry VMs at the last change.
   bool HasMembersChanged_ = true; ///< Whether the router has an old list.
--- a/src/steering/store_cache_base.h
+++ b/src/steering/store_cache_base.h
@@ -22,6 +22,9 @@
 
   platform::StoreEra getEra() const { return Era_; }
 
+  /// \return Revision up to which changes are included.
+  Revision getRevision() const { return Revision_; }
+
   /// Replaces the content by a complete list.
   /// \param Upto Store revision of the list.
   void replaceAll(const std::vector<platform::StoreObject> &Objects,
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -22,10 +22,6 @@
 constexpr Duration MaxBackoffNoResponse = milliseconds(250);
 constexpr Duration MaxBackoffRefused = milliseconds(800);
 
-/// Longest wait of a watch at a relay. Together with the call's margin, a hung
-/// relay is abandoned after 0.75 s, of the 2 s in which a change must be known.
-constexpr Duration RelayWatchWait = milliseconds(400);
-
 /// Minimum interval between two watches at a relay, which bounds the delay of
 /// changes.
 constexpr Duration RelayMinWatchInterval = milliseconds(100);
@@ -58,20 +54,24 @@
   };
 }
 
-void StoreFollower::restart() {
+void StoreFollower::pause() {
   ++Generation_;
   ListedObjects_.clear();
   Timer_.cancel();
+}
+
+void StoreFollower::restart() {
+  pause();
   requestList();
 }
 
-void StoreFollower::setRelay(platform::StoreClient *Relay) {
+void StoreFollower::setRelay(platform::StoreClient *Relay, bool CanRestart) {
   bool WasRelayed = Relay_ != nullptr;
   if (Relay_ == Relay)
     return;
   Relay_ = Relay;
   // A call to the store may complete; a call to a relay has to be abandoned.
-  if (WasRelayed)
+  if (WasRelayed && CanRestart)
     restart();
 }
 
@@ -155,7 +155,8 @@
 void StoreFollower::requestWatch() {
   LastWatchStart_ = getNow();
   selectClient().watch(Options_.Kind_, Revision_,
-                       Relay_ ? RelayWatchWait : Options_.MaxWatchWait_,
+                       Relay_ ? Options_.RelayWatchWait_
+                              : Options_.MaxWatchWait_,
                        makeResponseHandler(&StoreFollower::handleChanges));
 }
 
@@ -196,7 +197,7 @@
 
 void StoreFollower::handleFailure(StoreStatus Status, const std::string &Text) {
   if (IsCallToRelay_) {
-    Handlers_.OnRelayFailed_(Text);
+    Handlers_.OnRelayFailed_(Status, Text);
     return;
   }
   if (!IsUnavailable_) {
@@ -215,7 +216,14 @@
                                                           : MaxBackoffRefused);
   // The store may have discarded the history since the last revision, and a
   // resumed watch would only learn that with the next change. So list again.
-  scheduleAfter(Backoff_, &StoreFollower::requestList);
+  scheduleAfter(Backoff_, &StoreFollower::retryList);
+}
+
+void StoreFollower::retryList() {
+  if (Handlers_.IsPutOff_ && Handlers_.IsPutOff_())
+    scheduleAfter(MaxBackoffRefused, &StoreFollower::retryList);
+  else
+    requestList();
 }
 
 void StoreFollower::recordSuccess() {
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -24,6 +24,8 @@
   Duration MinWatchInterval_{0};
   Duration MaxWatchWait_ =
       seconds(20); ///< Longest wait of a watch at the store.
+  /// Longest wait of a watch at another entry VM.
+  Duration RelayWatchWait_ = milliseconds(400);
 };
 
 /// Callbacks of a follower to its owner.
@@ -40,8 +42,12 @@
   std::function<void()> OnNewEra_;
   /// Called after each successful list or watch.
   std::function<void()> OnSuccess_;
-  /// Called with the reason when a call to the relay fails, see setRelay().
-  std::function<void(const std::string &)> OnRelayFailed_;
+  /// Called when a call to the relay fails, see setRelay().
+  std::function<void(platform::StoreStatus, const std::string &)>
+      OnRelayFailed_;
+  /// \return Whether to put off the next list after a failure. The owner then
+  /// calls restart() once the store can be read.
+  std::function<bool()> IsPutOff_;
 };
 
 /// Lists a kind and then watches it. After a failure it lists the kind again.
@@ -57,13 +63,18 @@
   /// unnoticed, the connection of this call may be lost as well.
   void restart();
 
+  /// Makes no calls and ignores the one in flight, until restart().
+  void pause();
+
   /// \param Pace Minimum interval between two watches.
   void setMinWatchInterval(Duration Pace) { Options_.MinWatchInterval_ = Pace; }
 
   /// Sends calls to another entry VM from the next one on, or to the store if
   /// \p Relay is null. After a failed call to the relay, the owner has to
   /// select the source.
-  void setRelay(platform::StoreClient *Relay);
+  /// \param CanRestart Whether to list at once if a call to the relay before
+  /// has to be abandoned. Otherwise restart() has to follow.
+  void setRelay(platform::StoreClient *Relay, bool CanRestart = true);
 
   /// \return Objects read so far.
   const StoreCache &getCache() const { return Cache_; }
@@ -85,6 +96,7 @@
 
 private:
   void requestList();
+  void retryList();
   void handlePage(const platform::StoreResponse &Reply);
   void requestWatch();
   platform::StoreClient &selectClient();
--- a/src/steering/store_relay.cpp
+++ b/src/steering/store_relay.cpp
@@ -16,6 +16,9 @@
 /// doesn't make the caller wait.
 constexpr Duration MaxWatchWait = seconds(2);
 
+/// Longest wait of a list, within the caller's timeout.
+constexpr Duration MaxListWait = milliseconds(250);
+
 constexpr unsigned Ok = 200;
 constexpr unsigned NotFound = 404;
 constexpr unsigned HistoryGone = 410;
@@ -34,11 +37,15 @@
     Exchange->respond(makeResponse(NotFound, ""));
     return;
   }
+  bool IsList = !Question->WatchFrom_;
   if (!IsFresh_()) {
-    Exchange->respond(makeResponse(Unavailable, ""));
+    if (IsList && !Followers_.at(Question->Kind_)->isUnavailable())
+      holdList(Exchange, Question->Kind_);
+    else
+      Exchange->respond(makeResponse(Unavailable, ""));
     return;
   }
-  if (!Question->WatchFrom_) {
+  if (IsList) {
     sendPage(Exchange, Question->Kind_);
     return;
   }
@@ -60,6 +67,22 @@
   });
 }
 
+void StoreRelay::holdList(const IngressExchangePtr &Exchange,
+                          const std::string &Kind) {
+  auto Waiting = std::make_shared<PendingList>(
+      PendingList{Exchange, Kind, boost::asio::steady_timer(Loop_)});
+  PendingLists_.push_back(Waiting);
+  Waiting->WaitTimer_.expires_after(MaxListWait);
+  Waiting->WaitTimer_.async_wait(
+      [this, Weak = std::weak_ptr<PendingList>(Waiting)](error_code Cancelled) {
+        ListPtr Over = Weak.lock();
+        if (Cancelled || !Over)
+          return;
+        Over->Exchange_->respond(makeResponse(Unavailable, ""));
+        std::erase(PendingLists_, Over);
+      });
+}
+
 void StoreRelay::respond(const IngressExchangePtr &Exchange,
                          const StoreCache &Cache, unsigned Status,
                          const std::string &Body) {
@@ -71,7 +94,13 @@
 void StoreRelay::sendPage(const IngressExchangePtr &Exchange,
                           const std::string &Kind) {
   const StoreCache &Cache = Followers_.at(Kind)->getCache();
-  respond(Exchange, Cache, Ok, platform::encodePage(Cache.getPage()));
+  EncodedPage &Known = Pages_[Kind];
+  bool IsCurrent = !Known.Text_.empty() && Known.Era_ == Cache.getEra() &&
+                   Known.Revision_ == Cache.getRevision();
+  if (!IsCurrent)
+    Known = {Cache.getEra(), Cache.getRevision(),
+             platform::encodePage(Cache.getPage())};
+  respond(Exchange, Cache, Ok, Known.Text_);
 }
 
 bool StoreRelay::tryRespondToWatch(const PendingWatch &Waiting, bool IsOver) {
@@ -94,6 +123,12 @@
 }
 
 void StoreRelay::notifyWatches(const std::string &Kind) {
+  if (!PendingLists_.empty() && IsFresh_()) {
+    std::vector<ListPtr> Lists;
+    Lists.swap(PendingLists_);
+    for (const ListPtr &Each : Lists)
+      sendPage(Each->Exchange_, Each->Kind_);
+  }
   std::erase_if(PendingWatches_, [&](const WatchPtr &Waiting) {
     return Waiting->Kind_ == Kind && tryRespondToWatch(*Waiting, false);
   });
--- a/src/steering/store_relay_base.h
+++ b/src/steering/store_relay_base.h
@@ -30,7 +30,8 @@
     Followers_[Kind] = &Follower;
   }
 
-  /// Handles a list or watch request of another entry VM.
+  /// Handles a list or watch request of another entry VM. A list waits for a
+  /// moment if this VM is about to read the objects.
   void handleRequest(const IngressExchangePtr &Exchange);
 
   /// Responds to the watches on \p Kind for which there are changes.
@@ -49,6 +50,22 @@
   /// response.
   using WatchPtr = std::shared_ptr<PendingWatch>;
 
+  /// A list request that waits until the objects are fresh.
+  struct PendingList {
+    IngressExchangePtr Exchange_;         ///< Connection for the response.
+    std::string Kind_;                    ///< Kind of objects.
+    boost::asio::steady_timer WaitTimer_; ///< Expires at the end of the wait.
+  };
+  using ListPtr = std::shared_ptr<PendingList>;
+
+  /// Encoded list of a kind. Many VMs ask for the same one at once.
+  struct EncodedPage {
+    platform::StoreEra Era_ = 0; ///< Era of the list.
+    Revision Revision_ = 0;      ///< Revision of the list.
+    std::string Text_;           ///< Encoded list.
+  };
+
+  void holdList(const IngressExchangePtr &Exchange, const std::string &Kind);
   static void respond(const IngressExchangePtr &Exchange,
                       const StoreCache &Cache, unsigned Status,
                       const std::string &Body);
@@ -60,7 +77,9 @@
   boost::asio::io_context &Loop_; ///< Event loop.
   std::function<bool()> IsFresh_; ///< Whether objects may be relayed.
   std::map<std::string, const StoreFollower *> Followers_; ///< By kind.
-  std::vector<WatchPtr> PendingWatches_; ///< Watches that wait for changes.
+  std::vector<WatchPtr> PendingWatches_;     ///< Watches that wait for changes.
+  std::vector<ListPtr> PendingLists_;        ///< Lists that wait.
+  std::map<std::string, EncodedPage> Pages_; ///< Last lists sent, by kind.
 };
 
 } // namespace cranberry
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -30,22 +30,18 @@
 /// a watch silently. With this limit, a change is known at most 6 s later.
 constexpr Duration OperatorWatchWait = seconds(4);
 
-/// Longest wait of the watch on entry VMs, which heartbeats report as well.
-constexpr Duration VmWatchWait = seconds(20);
+/// Longest wait of a watch on servers at another entry VM. Together with the
+/// call's margin, a hung VM is abandoned after 0.75 s, of the 2 s in which a
+/// change must be known.
+constexpr Duration ServerRelayWait = milliseconds(400);
 
-FollowOptions makePlan(const char *Kind, Duration Wait,
-                       Duration Pace = Duration(0)) {
-  return {Kind, Pace, Wait};
-}
+/// The same for the other kinds; the watch on servers shows that a VM hangs.
+constexpr Duration OperatorRelayWait = milliseconds(1500);
 
 /// Margin of the maximum age of relayed servers, for network latency. The rest
 /// is the minimum interval between two watches on servers.
 constexpr Duration FreshAgeMargin = milliseconds(350);
 
-/// After a reader failed, the store is read for this long. By then the failed
-/// VM is suspect or has recovered.
-constexpr Duration ReaderRetryDelay = seconds(3);
-
 } // namespace
 
 StoreView::StoreView(boost::asio::io_context &Loop,
@@ -53,16 +49,17 @@
                      EventLog &Log, StoreViewHandlers Handlers)
     : Loop_(Loop), Log_(Log), Handlers_(std::move(Handlers)),
       ConfigFollower_(Loop, Store,
-                      makePlan(platform::kind::Config, OperatorWatchWait),
+                      {platform::kind::Config, Duration(0), OperatorWatchWait,
+                       OperatorRelayWait},
                       makeConfigHandlers(), Log),
       ServerFollower_(Loop, Store,
-                      makePlan(platform::kind::Servers, ServerWatchWait),
+                      {platform::kind::Servers, Duration(0), ServerWatchWait,
+                       ServerRelayWait},
                       makeServerHandlers(), Log),
-      EvacuationFollower_(
-          Loop, Store, makePlan(platform::kind::Evacuations, OperatorWatchWait),
-          makeEvacuationHandlers(), Log),
-      VmFollower_(Loop, Store, makePlan(platform::kind::EntryVms, VmWatchWait),
-                  makeVmHandlers(), Log),
+      EvacuationFollower_(Loop, Store,
+                          {platform::kind::Evacuations, Duration(0),
+                           OperatorWatchWait, OperatorRelayWait},
+                          makeEvacuationHandlers(), Log),
       Relay_(Loop, [this] { return isFresh(); }) {
   Relay_.addKind(platform::kind::Config, ConfigFollower_);
   Relay_.addKind(platform::kind::Servers, ServerFollower_);
@@ -80,53 +77,70 @@
 void StoreView::addRelayHandlers(const std::string &Kind,
                                  FollowHandlers &Handlers) {
   Handlers.OnSuccess_ = [this, Kind] { Relay_.notifyWatches(Kind); };
-  Handlers.OnRelayFailed_ = [this](const std::string &Text) {
-    onRelayFailed(Text);
+  Handlers.OnRelayFailed_ = [this](platform::StoreStatus Status,
+                                   const std::string &Text) {
+    onRelayFailed(Status, Text);
   };
 }
 
 bool StoreView::isFresh() const {
-  return Reader_.empty() && isComplete() && EvacuationFollower_.isListed() &&
+  return Source_ == StoreSource::Store && ConfigFollower_.isListed() &&
+         Registry_.isLoaded() && EvacuationFollower_.isListed() &&
          !ConfigFollower_.isUnavailable() && !ServerFollower_.isUnavailable() &&
          !EvacuationFollower_.isUnavailable() &&
          ServerFollower_.getAge(getNow()) <= MaxFreshAge_;
 }
 
-void StoreView::setRelay(platform::StoreClient *Relay) {
-  ConfigFollower_.setRelay(Relay);
-  ServerFollower_.setRelay(Relay);
-  EvacuationFollower_.setRelay(Relay);
-}
-
-void StoreView::setReader(const std::string &Peer) {
-  if (Peer == Reader_ || (!Peer.empty() && getNow() < NextReaderAt_))
+void StoreView::setSource(StoreSource Source, const std::string &Peer) {
+  if (Source == Source_ && Peer == Reader_)
     return;
-  Log_.write(getNow(), "reader", {{"peer", Peer}, {"before", Reader_}});
+  Log_.write(getNow(), "reader",
+             {{"source", StoreSourceNames[static_cast<size_t>(Source)]},
+              {"peer", Peer},
+              {"before", Reader_}});
+  bool WasPaused = Source_ == StoreSource::None;
+  Source_ = Source;
   Reader_ = Peer;
   // Followers abandon their calls before the client is destroyed.
   std::unique_ptr<platform::StoreClient> Next;
-  if (!Peer.empty())
+  if (Source == StoreSource::Vm)
     Next = std::make_unique<platform::StoreClient>(Loop_, Peer,
                                                    platform::RelayTimeouts);
-  setRelay(Next.get());
+  bool IsPaused = Source == StoreSource::None;
+  for (StoreFollower *Each : getFollowers()) {
+    if (IsPaused)
+      Each->pause();
+    Each->setRelay(Next.get(), !WasPaused && !IsPaused);
+    if (WasPaused && !IsPaused)
+      Each->restart();
+  }
   ReaderClient_ = std::move(Next);
 }
 
-void StoreView::onRelayFailed(const std::string &Text) {
-  Log_.write(getNow(), "reader-lost", {{"peer", Reader_}, {"text", Text}});
-  NextReaderAt_ = getNow() + ReaderRetryDelay;
-  Reader_.clear();
-  setRelay(nullptr);
-  // This runs in a callback of the client, so destroy it later.
-  boost::asio::post(Loop_, [Gone = std::shared_ptr<platform::StoreClient>(
-                                std::move(ReaderClient_))] {});
+void StoreView::onRelayFailed(platform::StoreStatus Status,
+                              const std::string &Text) {
+  Log_.write(
+      getNow(), "reader-lost",
+      {{"peer", Reader_},
+       {"status", platform::StoreStatusNames[static_cast<size_t>(Status)]},
+       {"text", Text}});
+  std::string Failed = Reader_;
+  for (StoreFollower *Each : getFollowers())
+    Each->pause();
+  // This runs in a callback of the client, so the next source is selected, and
+  // the client destroyed, later.
+  boost::asio::post(Loop_, [this, Failed, Status] {
+    if (Source_ == StoreSource::Vm && Reader_ == Failed) {
+      setSource(StoreSource::None, "");
+      Handlers_.OnReaderFailed_(Failed,
+                                Status != platform::StoreStatus::NoResponse);
+    }
+  });
 }
 
-void StoreView::start() {
-  ConfigFollower_.start();
-  ServerFollower_.start();
-  EvacuationFollower_.start();
-  VmFollower_.start();
+void StoreView::handleRelayRequest(const IngressExchangePtr &Exchange) {
+  Handlers_.OnReaderWanted_();
+  Relay_.handleRequest(Exchange);
 }
 
 void StoreView::tick() {
@@ -150,6 +164,7 @@
       applyConfig(Change.Object_);
   };
   Result.OnNewEra_ = [this] { onNewEra(ConfigFollower_); };
+  Result.IsPutOff_ = [this] { return ServerFollower_.isUnavailable(); };
   return Result;
 }
 
@@ -162,6 +177,14 @@
   Result.OnChange_ = [this](const StoreChange &Change) {
     applyServerChange(Change);
   };
+  // A response may hold hundreds of changes, and to apply them takes a
+  // millisecond for each thousand servers.
+  Result.OnSuccess_ = [this] {
+    if (HaveServersChanged_)
+      Handlers_.OnServers_();
+    HaveServersChanged_ = false;
+    Relay_.notifyWatches(platform::kind::Servers);
+  };
   Result.OnUnavailable_ = [this] { Registry_.onStoreLost(); };
   Result.OnNewEra_ = [this] {
     Registry_.onStoreRolledBack(getNow());
@@ -172,7 +195,6 @@
     // The others may wait on connections that were lost unnoticed.
     ConfigFollower_.restart();
     EvacuationFollower_.restart();
-    VmFollower_.restart();
   };
   return Result;
 }
@@ -195,20 +217,7 @@
     Evacuations_.onStoreRolledBack(getNow());
     onNewEra(EvacuationFollower_);
   };
-  return Result;
-}
-
-FollowHandlers StoreView::makeVmHandlers() {
-  FollowHandlers Result;
-  Result.OnList_ = [this](const std::vector<StoreObject> &Objects) {
-    for (const StoreObject &Object : Objects)
-      reportVm(Object);
-  };
-  Result.OnChange_ = [this](const StoreChange &Change) {
-    if (!Change.IsRemoved_)
-      reportVm(Change.Object_);
-  };
-  Result.OnNewEra_ = [this] { onNewEra(VmFollower_); };
+  Result.IsPutOff_ = [this] { return ServerFollower_.isUnavailable(); };
   return Result;
 }
 
@@ -217,8 +226,7 @@
     return;
   Era_ = Source.getEra();
   // The other watches may wait for revisions that the store no longer has.
-  for (StoreFollower *Each :
-       {&ConfigFollower_, &ServerFollower_, &EvacuationFollower_, &VmFollower_})
+  for (StoreFollower *Each : getFollowers())
     if (Each != &Source && Each->getEra() < Era_)
       Each->restart();
   Handlers_.OnStoreRolledBack_();
@@ -301,7 +309,7 @@
               {"coldMs", Next.Record_.ColdRemaining_},
               {"revision", Change.Object_.Revision_},
               {"fault", Why.Field_}});
-  Handlers_.OnServers_();
+  HaveServersChanged_ = true;
 }
 
 Duration StoreView::getMaxColdDuration() const {
@@ -326,15 +334,4 @@
   Handlers_.OnServers_();
 }
 
-void StoreView::reportVm(const StoreObject &Object) {
-  if (!Object.Body_.is_object())
-    return;
-  auto Peer = Object.Body_.find("peer");
-  if (Peer == Object.Body_.end() || !Peer->is_string())
-    return;
-  std::string Address = *Peer;
-  if (parseEndpoint(Address))
-    Handlers_.OnEntryVm_(Address);
-}
-
 } // namespace cranberry
--- a/src/steering/store_view_base.h
+++ b/src/steering/store_view_base.h
@@ -5,12 +5,14 @@
 #include "daemon/settings_type.h"
 #include "observe/event_log_base.h"
 #include "platform/store_client_base.h"
+#include "process/store_reader_func.h"
 #include "steering/store_follower_base.h"
 #include "steering/store_relay_base.h"
 #include "version/evacuation_set_base.h"
 #include "version/routing_type.h"
 #include "version/server_registry_base.h"
 
+#include <array>
 #include <functional>
 #include <set>
 #include <string>
@@ -25,9 +27,14 @@
   std::function<void()> OnServers_;
   /// Called after a failure that may require traffic to move.
   std::function<void()> OnFailure_;
-  /// Called with the peer address of an entry VM that is registered in the
-  /// store.
-  std::function<void(const std::string &)> OnEntryVm_;
+  /// Called when the entry VM that is read from has failed. No calls are made
+  /// until the next setSource().
+  /// \param Peer Its peer address.
+  /// \param IsBehind Whether it answered that it can't read the store.
+  std::function<void(const std::string &Peer, bool IsBehind)> OnReaderFailed_;
+  /// Called when another entry VM asks for objects, which this one then has to
+  /// read from the store.
+  std::function<void()> OnReaderWanted_;
   /// Called when the store was restored from a copy, which may lack what this
   /// VM has written.
   std::function<void()> OnStoreRolledBack_;
@@ -40,27 +47,24 @@
   StoreView(boost::asio::io_context &Loop, platform::StoreClient &Store,
             const Settings &Config, EventLog &Log, StoreViewHandlers Handlers);
 
-  /// Starts to read all kinds.
-  void start();
-
   /// Applies changed settings.
   void applySettings(const Settings &Config);
 
   /// Removes servers whose grace period has expired.
   void tick();
 
-  /// Reads from another entry VM instead of the store, unless a reader failed
-  /// recently.
-  /// \param Peer Peer address of that VM, or empty for the store.
-  void setReader(const std::string &Peer);
+  /// Selects where to read from.
+  /// \param Peer Peer address of the entry VM, if that is the source.
+  void setSource(StoreSource Source, const std::string &Peer);
+
+  /// \return Where updates come from at present.
+  StoreSource getSource() const { return Source_; }
 
   /// \return Whether the store can't be read.
   bool isStoreUnavailable() const { return ServerFollower_.isUnavailable(); }
 
   /// Handles a store request of another entry VM that reads from this one.
-  void handleRelayRequest(const IngressExchangePtr &Exchange) {
-    Relay_.handleRequest(Exchange);
-  }
+  void handleRelayRequest(const IngressExchangePtr &Exchange);
 
   /// Records that a server is leaving or that another one responds at its
   /// address.
@@ -85,17 +89,17 @@
   FollowHandlers makeConfigHandlers();
   FollowHandlers makeServerHandlers();
   FollowHandlers makeEvacuationHandlers();
-  FollowHandlers makeVmHandlers();
   void applyConfig(const platform::StoreObject &Object);
   void applyServerList(const std::vector<platform::StoreObject> &Objects);
   void applyServerChange(const platform::StoreChange &Change);
   void applyEvacuations();
   void onNewEra(const StoreFollower &Source);
-  void reportVm(const platform::StoreObject &Object);
   Duration getMaxColdDuration() const;
   void addRelayHandlers(const std::string &Kind, FollowHandlers &Handlers);
-  void setRelay(platform::StoreClient *Relay);
-  void onRelayFailed(const std::string &Text);
+  std::array<StoreFollower *, 3> getFollowers() {
+    return {&ConfigFollower_, &ServerFollower_, &EvacuationFollower_};
+  }
+  void onRelayFailed(platform::StoreStatus Status, const std::string &Text);
   bool isFresh() const;
 
   boost::asio::io_context &Loop_;    ///< Event loop.
@@ -105,14 +109,14 @@
   EvacuationSet Evacuations_;        ///< Zones that get no requests.
   platform::StoreEra Era_ = 0;       ///< Latest era of the store.
   RoutingConfigPtr Config_;          ///< Active configuration.
+  bool HaveServersChanged_ = false;  ///< Whether to call OnServers_.
   StoreFollower ConfigFollower_;     ///< Follows the configuration.
   StoreFollower ServerFollower_;     ///< Follows the servers.
   StoreFollower EvacuationFollower_; ///< Follows evacuations.
-  StoreFollower VmFollower_;         ///< Follows the entry VMs.
   StoreRelay Relay_;                 ///< Relays objects to other entry VMs.
-  std::string Reader_;               ///< Peer that is read from, or empty.
+  StoreSource Source_ = StoreSource::None; ///< Where to read from.
+  std::string Reader_; ///< Peer that is read from, or empty.
   std::unique_ptr<platform::StoreClient> ReaderClient_; ///< Calls to that peer.
-  Time NextReaderAt_;       ///< Time from which a peer may be the reader.
   Duration MaxFreshAge_{0}; ///< Maximum age of servers that are relayed.
 };
 
--- a/test/unit/rollback_test.cpp
+++ b/test/unit/rollback_test.cpp
@@ -82,7 +82,8 @@
     };
     Handlers.OnNewEra_ = [&Eras] { ++Eras; };
     // Nothing but the relay may bring the changes.
-    Handlers.OnRelayFailed_ = [this](const std::string &) {
+    Handlers.OnRelayFailed_ = [this](platform::StoreStatus,
+                                     const std::string &) {
       Relayed_.restart();
     };
     return Handlers;
--- a/test/unit/store_relay_test.cpp
+++ b/test/unit/store_relay_test.cpp
@@ -77,7 +77,8 @@
     };
     if (IsReader)
       Handlers.OnSuccess_ = [this] { Relay_.notifyWatches("things"); };
-    Handlers.OnRelayFailed_ = [this](const std::string &) {
+    Handlers.OnRelayFailed_ = [this](platform::StoreStatus,
+                                     const std::string &) {
       ++RelayFailures_;
       RelayedFollower_.setRelay(nullptr);
     };
@@ -204,29 +205,33 @@
   MemberList Vms{makeVm("a", "z1", "r"), makeVm("b", "z1", "r"),
                  makeVm("c", "z1", "r"), makeVm("d", "z2", "r"),
                  makeVm("e", "y1", "s")};
+  auto Select = [&Vms](size_t Self, bool IsStoreLost = false) {
+    return selectStoreSource(Vms, Vms[Self], IsStoreLost, {});
+  };
   std::set<std::string> Readers;
   for (size_t I = 0; I < 3; ++I) {
-    const Member *Reader = selectStoreReader(Vms, Vms[I], false);
-    Readers.insert(Reader ? Reader->Vm_ : Vms[I].Vm_);
+    StoreSourceChoice Choice = Select(I);
+    Readers.insert(Choice.Vm_ ? Choice.Vm_->Vm_ : Vms[I].Vm_);
   }
   REQUIRE(Readers.size() == 1);
-  CHECK_FALSE(selectStoreReader(Vms, Vms[3], false));
+  CHECK(Select(3).Source_ == StoreSource::Store);
   // Another VM takes over from a suspected reader.
   for (Member &Vm : Vms)
     if (Vm.Vm_ == *Readers.begin())
       Vm.State_ = MemberState::Suspect;
   for (size_t I = 0; I < 3; ++I)
-    if (const Member *Reader = selectStoreReader(Vms, Vms[I], false))
+    if (const Member *Reader = Select(I).Vm_)
       CHECK(Reader->Vm_ != *Readers.begin());
   // A VM that can't read the store uses one in its region, or else any other.
-  const Member *Near = selectStoreReader(Vms, Vms[3], true);
+  const Member *Near = Select(3, true).Vm_;
   REQUIRE(Near);
   CHECK(Near->Region_ == "r");
   CHECK(Near->Vm_ != "d");
-  const Member *Far = selectStoreReader(Vms, Vms[4], true);
+  const Member *Far = Select(4, true).Vm_;
   REQUIRE(Far);
   CHECK(Far->Vm_ != "e");
-  CHECK_FALSE(selectStoreReader({Vms[4]}, Vms[4], true));
+  CHECK(selectStoreSource({Vms[4]}, Vms[4], true, {}).Source_ ==
+        StoreSource::Store);
 }
 
 TEST_CASE("relay: changes come from the other VM without calls to the store") {
--- /dev/null
+++ b/test/unit/store_source_test.cpp
@@ -0,0 +1,233 @@
+/// \file store_source_test.cpp Which entry VMs call the store, and how often.
+#include "platform/decode_func.h"
+#include "process/store_reader_func.h"
+#include "standin/object_store_base.h"
+#include "steering/store_view_base.h"
+#include "steering/vm_discovery_base.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <random>
+#include <set>
+
+using namespace cranberry;
+using cranberry::standin::ObjectStore;
+using cranberry::standin::StoreMode;
+using nlohmann::json;
+
+namespace {
+
+constexpr unsigned Seed = 20261205;
+constexpr Duration LoopTimeout = seconds(20);
+constexpr unsigned Zones = 9;
+
+/// VMs in nine zones, and what they have learnt of each other.
+class Fleet {
+public:
+  explicit Fleet(unsigned Count) : Failed_(Count) {
+    for (unsigned I = 0; I < Count; ++I) {
+      Member Vm;
+      Vm.Vm_ = "vm" + std::to_string(I);
+      Vm.PeerAddress_ = "10.0." + std::to_string(I) + ".1:7200";
+      Vm.Zone_ = "zone-" + std::to_string(I % Zones);
+      Vm.Region_ = "region-" + std::to_string(I % Zones / 3);
+      Vms_.push_back(Vm);
+    }
+  }
+
+  size_t getCount() const { return Vms_.size(); }
+
+  /// Lets every VM select its source until none of them changes it.
+  /// \param CanRead Whether a VM can read the store.
+  /// \param IsUp Whether a VM answers others.
+  /// \return VMs that have called the store, by zone.
+  template <typename R, typename U>
+  std::map<std::string, std::set<std::string>> settle(R CanRead, U IsUp) {
+    std::map<std::string, std::set<std::string>> Callers;
+    for (int Round = 0; Round < 12; ++Round)
+      for (size_t I = 0; I < Vms_.size(); ++I) {
+        if (!IsUp(I))
+          continue;
+        StoreSourceChoice Choice =
+            selectStoreSource(Vms_, Vms_[I], Lost_.contains(I), Failed_[I]);
+        Last_[I] = Choice.Source_;
+        if (Choice.Source_ == StoreSource::Store) {
+          Callers[Vms_[I].Zone_].insert(Vms_[I].Vm_);
+          if (!CanRead(I))
+            Lost_.insert(I);
+        }
+        if (Choice.Source_ != StoreSource::Vm)
+          continue;
+        auto Reader = static_cast<size_t>(Choice.Vm_ - Vms_.data());
+        if (!IsUp(Reader)) {
+          Failed_[I].Silent_.insert(Choice.Vm_->PeerAddress_);
+        } else if (!CanRead(Reader)) {
+          // Asked by another VM, it has tried the store.
+          Callers[Vms_[Reader].Zone_].insert(Vms_[Reader].Vm_);
+          Failed_[I].Behind_.insert(Choice.Vm_->PeerAddress_);
+        }
+      }
+    return Callers;
+  }
+
+  /// \return Number of VMs whose last source was \p Source.
+  size_t count(StoreSource Source) const {
+    size_t Result = 0;
+    for (const auto &[Vm, Last] : Last_)
+      Result += Last == Source ? 1 : 0;
+    return Result;
+  }
+
+  const Member &getVm(size_t Index) const { return Vms_[Index]; }
+
+private:
+  MemberList Vms_;
+  std::vector<FailedReaders> Failed_;
+  std::set<size_t> Lost_;
+  std::map<size_t, StoreSource> Last_;
+};
+
+template <typename F>
+bool runUntil(boost::asio::io_context &Loop, F Condition,
+              Duration Limit = LoopTimeout) {
+  Time End = getNow() + Limit;
+  while (!Condition() && getNow() < End) {
+    Loop.restart();
+    Loop.run_one_for(milliseconds(5));
+  }
+  return Condition();
+}
+
+json makeServerEntry(unsigned Number) {
+  return {{"service", "one"},
+          {"address", "10.0.0.1:" + std::to_string(1000 + Number)},
+          {"zone", "north-a"},
+          {"state", "ready"},
+          {"slots", 4},
+          {"born", 1},
+          {"sequence", 1}};
+}
+
+} // namespace
+
+TEST_CASE("store source: one VM of a zone calls a store that works, whatever "
+          "the fleet's size") {
+  for (unsigned Count : {30U, 80U, 300U}) {
+    Fleet Vms(Count);
+    auto All = [](size_t) { return true; };
+    std::map<std::string, std::set<std::string>> Callers = Vms.settle(All, All);
+    CHECK(Callers.size() == Zones);
+    for (const auto &[Zone, InZone] : Callers)
+      CHECK(InZone.size() == 1);
+    CHECK(Vms.count(StoreSource::Vm) == Count - Zones);
+  }
+}
+
+TEST_CASE("store source: a store that refuses all VMs is called by few of each "
+          "zone, whatever the fleet's size") {
+  for (unsigned Count : {30U, 80U, 300U}) {
+    Fleet Vms(Count);
+    auto CanRead = [](size_t) { return false; };
+    std::map<std::string, std::set<std::string>> Callers =
+        Vms.settle(CanRead, [](size_t) { return true; });
+    for (const auto &[Zone, InZone] : Callers)
+      CHECK(InZone.size() <= MaxReadersPerZone);
+  }
+}
+
+TEST_CASE("store source: where a store refuses some VMs, all others still hear "
+          "of its changes") {
+  std::mt19937 Random(Seed);
+  for (int Round = 0; Round < 20; ++Round) {
+    Fleet Vms(80);
+    std::set<size_t> Refused;
+    for (size_t I = 0; I < 80; ++I)
+      if (Random() % 3 == 0)
+        Refused.insert(I);
+    std::map<std::string, std::set<std::string>> Callers =
+        Vms.settle([&](size_t Vm) { return !Refused.contains(Vm); },
+                   [](size_t) { return true; });
+    for (const auto &[Zone, InZone] : Callers)
+      CHECK(InZone.size() <= MaxReadersPerZone);
+    // One in 81 zones has four refused VMs at the front of its order.
+    CHECK(Vms.count(StoreSource::None) <= 10);
+  }
+}
+
+TEST_CASE("store source: VMs whose readers are all silent read the store") {
+  Fleet Vms(80);
+  // All VMs of a zone but one lost power, and the members don't know yet.
+  auto IsUp = [&](size_t Vm) {
+    return Vms.getVm(Vm).Zone_ != "zone-4" || Vm == 4 + 8 * Zones;
+  };
+  std::map<std::string, std::set<std::string>> Callers =
+      Vms.settle([](size_t) { return true; }, IsUp);
+  CHECK(Callers["zone-4"] == std::set<std::string>{Vms.getVm(76).Vm_});
+}
+
+TEST_CASE("discovery: lists go on until contact and are rare afterwards") {
+  boost::asio::io_context Loop;
+  ObjectStore Store;
+  platform::StoreClient Client(Loop, Store.getAddress(),
+                               platform::DirectStoreTimeouts);
+  EventLog Log(-1, "vm");
+  std::set<std::string> Found;
+  int Lists = 0;
+  VmDiscovery Discovery(Loop, Client, Log, "10.0.0.9:7200", Seed,
+                        [&](const std::vector<std::string> &Peers) {
+                          ++Lists;
+                          Found.insert(Peers.begin(), Peers.end());
+                        });
+  Store.setMode(StoreMode::Refuse);
+  Discovery.start();
+  REQUIRE(runUntil(Loop, [&] { return Lists == 2; }));
+  CHECK(Found.empty());
+  Store.setMode(StoreMode::Serve);
+  Store.setPageSize(2);
+  for (int I = 0; I < 5; ++I)
+    Store.put("entry-vms", "vm" + std::to_string(I),
+              {{"peer", "10.0.0." + std::to_string(I) + ":7200"}});
+  Store.put("entry-vms", "self", {{"peer", "10.0.0.9:7200"}});
+  Store.put("entry-vms", "odd-1", {{"peer", 7}});
+  Store.put("entry-vms", "odd-2", {{"peer", "10.0.0.1:99999"}});
+  Store.put("entry-vms", "odd-3", json::array({1}));
+  CHECK(runUntil(Loop, [&] { return Found.size() == 5; }));
+  CHECK_FALSE(Found.contains("10.0.0.9:7200"));
+  Discovery.setMemberCount(6);
+  int Before = Lists + 1; // One interval without contact may be running.
+  runUntil(
+      Loop, [&] { return Lists > Before; }, seconds(2));
+  CHECK(Lists <= Before);
+}
+
+TEST_CASE("view: hundreds of changes in one response are applied at once") {
+  boost::asio::io_context Loop;
+  ObjectStore Store;
+  platform::StoreClient Client(Loop, Store.getAddress(),
+                               platform::DirectStoreTimeouts);
+  EventLog Log(-1, "vm");
+  Settings Config;
+  Config.ServerDrain_ = seconds(2);
+  unsigned Applied = 0;
+  StoreViewHandlers Handlers;
+  Handlers.OnConfig_ = [](const RoutingConfigPtr &) {};
+  Handlers.OnServers_ = [&Applied] { ++Applied; };
+  Handlers.OnFailure_ = [] {};
+  Handlers.OnStoreRolledBack_ = [] {};
+  Handlers.OnReaderFailed_ = [](const std::string &, bool) {};
+  Handlers.OnReaderWanted_ = [] {};
+  StoreView View(Loop, Client, Config, Log, std::move(Handlers));
+  Store.put("servers", "s0", makeServerEntry(0));
+  View.setSource(StoreSource::Store, "");
+  REQUIRE(
+      runUntil(Loop, [&] { return View.getRegistry().getServerCount() == 1; }));
+  unsigned Before = Applied;
+  unsigned Calls = Store.getCalls();
+  for (unsigned I = 1; I <= 300; ++I)
+    Store.put("servers", "s" + std::to_string(I), makeServerEntry(I));
+  REQUIRE(runUntil(Loop,
+                   [&] { return View.getRegistry().getServerCount() == 301; }));
+  // Once for each response of the store, and for changes of other kinds.
+  CHECK(Applied - Before <= Store.getCalls() - Calls + 1);
+}
