Fix: [Steering] A reader of the store isn't taken for late in a quiet time

Change: the watch waits for a tenth of the drain bound, and the margin for a large response grows with that bound (0.14 of it). Bodies of entries are moved, not copied. A planned stop ends at 0.9 of the grace period, as overloaded machines had processes left at its end. The log event of an attempt is attempt-start, as start also meant a process.

--- a/src/ctl/request_log_analyzer.cpp
+++ b/src/ctl/request_log_analyzer.cpp
@@ -42,7 +42,7 @@
 /// \return A log line of the request as text.
 std::string formatLine(const json &Line) {
   std::string Event = getText(Line, "event");
-  if (Event == "start")
+  if (Event == "attempt-start")
     return absl::StrCat("sent to ", getText(Line, "server"), " (",
                         getText(Line, "where"), "), by configuration ",
                         getNumber(Line, "version"), "; load estimate ",
@@ -136,7 +136,7 @@
   }
   Output_.push_back(absl::StrFormat("%+8.3f s  ", At - *StartTime_) +
                     formatLine(Line));
-  if (Event == "start") {
+  if (Event == "attempt-start") {
     LastStart_ = Line;
     describeServer(Vm, Line);
   } else if (Event == "attempt") {
--- a/src/platform/decode.cpp
+++ b/src/platform/decode.cpp
@@ -104,6 +104,12 @@
     return Empty;
   }
 
+  /// \return Whether the field is an array.
+  bool checkList(const char *Name) {
+    getList(Name);
+    return IsValid_;
+  }
+
   bool has(const char *Name) const {
     auto Found = Object_.is_object() ? Object_.find(Name) : Object_.end();
     return Object_.is_object() && Found != Object_.end() && !Found->is_null();
@@ -130,7 +136,8 @@
   bool IsValid_ = true; ///< Whether no error occurred so far.
 };
 
-std::optional<StoreObject> decodeObject(const json &Value, Reason &Why) {
+/// \param Value Encoded object; its body is moved from.
+std::optional<StoreObject> decodeObject(json &Value, Reason &Why) {
   FieldReader Fields(Value, Why);
   if (!Fields.has("metadata")) {
     Fields.reportError("metadata", "missing");
@@ -140,10 +147,10 @@
   StoreObject Result;
   Result.Name_ = Meta.getString("name");
   Result.Revision_ = Meta.getRevision("revision");
-  if (auto Body = Value.find("specification"); Body != Value.end())
-    Result.Body_ = *Body;
   if (!Meta.isValid())
     return std::nullopt;
+  if (auto Body = Value.find("specification"); Body != Value.end())
+    Result.Body_ = std::move(*Body);
   return Result;
 }
 
@@ -406,19 +413,20 @@
 
 std::optional<StoreObject> decodeObjectBody(const std::string &Body,
                                             Reason &Why) {
-  return decodeObject(parseForeignJson(Body), Why);
+  json Value = parseForeignJson(Body);
+  return decodeObject(Value, Why);
 }
 
 std::optional<StorePage> decodePage(const std::string &Body, Reason &Why) {
   json Root = parseForeignJson(Body);
   FieldReader Fields(Root, Why);
   StorePage Result;
-  const json &Items = Fields.getList("items");
+  bool HasItems = Fields.checkList("items");
   Result.HasMore_ = Fields.has("hasMore") && Fields.getBool("hasMore");
   Result.Revision_ = Fields.getRevision("storeRevision");
-  if (!Fields.isValid())
+  if (!HasItems || !Fields.isValid())
     return std::nullopt;
-  for (const json &Item : Items) {
+  for (json &Item : Root["items"]) {
     Reason Skipped; // Invalid items are skipped.
     if (std::optional<StoreObject> Object = decodeObject(Item, Skipped))
       Result.Objects_.push_back(std::move(*Object));
@@ -431,11 +439,11 @@
   json Root = parseForeignJson(Body);
   FieldReader Fields(Root, Why);
   StoreChanges Result;
-  const json &Events = Fields.getList("events");
+  bool HasEvents = Fields.checkList("events");
   Result.Revision_ = Fields.getRevision("storeRevision");
-  if (!Fields.isValid())
+  if (!HasEvents || !Fields.isValid())
     return std::nullopt;
-  for (const json &Event : Events) {
+  for (json &Event : Root["events"]) {
     Reason Skipped;
     FieldReader EventFields(Event, Skipped);
     if (!EventFields.has("object"))
--- a/src/steering/request_router_attempts.cpp
+++ b/src/steering/request_router_attempts.cpp
@@ -76,7 +76,7 @@
     Flow.QueueTime_ = Now - Flow.Request_.Arrived_;
     Metrics_.observeQueueTime(Pool.Name_, Flow.QueueTime_);
   }
-  Log_.write(Now, "start",
+  Log_.write(Now, "attempt-start",
              {{"request", Flow.Id_},
               {"service", Pool.Name_},
               {"server", Start.Server_},
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -52,8 +52,8 @@
 constexpr double AcceptGraceShare = 0.72;
 
 /// Share of the grace period after which the process exits even if requests are
-/// in flight.
-constexpr double ExitGraceShare = 0.95;
+/// in flight. An overloaded machine needs some hundred milliseconds to end it.
+constexpr double ExitGraceShare = 0.9;
 
 constexpr unsigned Ok = 200;
 constexpr unsigned NotFound = 404;
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -69,6 +69,9 @@
   /// \param Pace Minimum interval between two watches.
   void setMinWatchInterval(Duration Pace) { Options_.MinWatchInterval_ = Pace; }
 
+  /// \param Wait Longest wait of a watch at the store.
+  void setMaxWatchWait(Duration Wait) { Options_.MaxWatchWait_ = Wait; }
+
   /// Sends calls to another entry VM from the next one on, or to the store if
   /// \p Relay is null. After a failed call to the relay, the owner has to
   /// select the source.
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -22,9 +22,10 @@
 /// this share of the time after which a leaving server must get no requests.
 constexpr double ServerWatchIntervalShare = 0.45;
 
-/// Longest wait of a watch on servers. Responses normally come much earlier, so
-/// a timeout reveals an unresponsive store or a lost connection.
-constexpr Duration ServerWatchWait = milliseconds(1500);
+/// Longest wait of a watch on servers, as a share of the same time. Responses
+/// normally come much earlier. With a longer wait, a quiet time of the servers
+/// would make what is relayed look out of date.
+constexpr double ServerWatchWaitShare = 0.1;
 
 /// Longest wait of watches on objects that operators write. The store may drop
 /// a watch silently. With this limit, a change is known at most 6 s later.
@@ -38,9 +39,10 @@
 /// The same for the other kinds; the watch on servers shows that a VM hangs.
 constexpr Duration OperatorRelayWait = milliseconds(1500);
 
-/// Margin of the maximum age of relayed servers, for network latency. The rest
-/// is the minimum interval between two watches on servers.
-constexpr Duration FreshAgeMargin = milliseconds(350);
+/// Margin of the maximum age of relayed servers, for the latency of a response
+/// with hundreds of renewed entries, as a share of the same time. The rest is
+/// the minimum interval between two watches on servers.
+constexpr double FreshAgeMarginShare = 0.14;
 
 } // namespace
 
@@ -52,10 +54,10 @@
                       {platform::kind::Config, Duration(0), OperatorWatchWait,
                        OperatorRelayWait},
                       makeConfigHandlers(), Log),
-      ServerFollower_(Loop, Store,
-                      {platform::kind::Servers, Duration(0), ServerWatchWait,
-                       ServerRelayWait},
-                      makeServerHandlers(), Log),
+      ServerFollower_(
+          Loop, Store,
+          {platform::kind::Servers, Duration(0), Duration(0), ServerRelayWait},
+          makeServerHandlers(), Log),
       EvacuationFollower_(Loop, Store,
                           {platform::kind::Evacuations, Duration(0),
                            OperatorWatchWait, OperatorRelayWait},
@@ -70,8 +72,10 @@
 void StoreView::applySettings(const Settings &Config) {
   ServerFollower_.setMinWatchInterval(
       scaleDuration(Config.ServerDrain_, ServerWatchIntervalShare));
-  MaxFreshAge_ = scaleDuration(Config.ServerDrain_, ServerWatchIntervalShare) +
-                 FreshAgeMargin;
+  ServerFollower_.setMaxWatchWait(
+      scaleDuration(Config.ServerDrain_, ServerWatchWaitShare));
+  MaxFreshAge_ = scaleDuration(Config.ServerDrain_,
+                               ServerWatchIntervalShare + FreshAgeMarginShare);
 }
 
 void StoreView::addRelayHandlers(const std::string &Kind,
