Fix: [Steering] Readers of a store that was away notice its return

Change: a VM that can't read the store tries it again after three others have failed to relay it, and follows nobody once it can. A reader that was behind is asked again after 1 s. Where the readers of a zone can't read the store, its other VMs try it as well, one a second in all.

Result: the new check, that some VM of each zone goes on trying, fails without the change.

--- a/src/process/store_reader.cpp
+++ b/src/process/store_reader.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// A VM that can't read the store tries it again once this many others have
+/// failed to relay it.
+constexpr size_t MaxOthersAsked = 3;
+
 /// \return The VMs of a zone that may read the store, in their order.
 std::vector<const Member *> selectReaders(const MemberList &Members,
                                           const std::string &Zone) {
@@ -48,6 +52,9 @@
 StoreSourceChoice selectOther(const MemberList &Members, const Member &Self,
                               const std::vector<const Member *> &Readers,
                               const FailedReaders &Failed) {
+  // Where others can't read the store either, it may be back at any moment.
+  if (Failed.Silent_.size() + Failed.Behind_.size() >= MaxOthersAsked)
+    return {};
   auto CanRelay = [&](const Member &Vm) {
     return Vm.Vm_ != Self.Vm_ && !hasFailed(Vm, Failed);
   };
--- a/src/process/store_reader_func.h
+++ b/src/process/store_reader_func.h
@@ -43,7 +43,8 @@
 /// troubled store doesn't grow with the fleet: a VM behind those in the order
 /// reads the store itself only if all of them are silent.
 /// \param IsStoreLost Whether \p Self can't read the store. Then it follows
-/// another entry VM, of its own zone or region if possible.
+/// another entry VM, of its own zone or region if possible, unless some of them
+/// have failed as well.
 StoreSourceChoice selectStoreSource(const MemberList &Members,
                                     const Member &Self, bool IsStoreLost,
                                     const FailedReaders &Failed);
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -10,6 +10,7 @@
 
 #include <absl/strings/str_join.h>
 
+#include <algorithm>
 #include <csignal>
 #include <unistd.h>
 
@@ -29,9 +30,19 @@
 /// effect within this time.
 constexpr Duration SettingsCheckInterval = seconds(2);
 
-/// After a VM has failed as a source of store updates, others are used for this
-/// long. By then it is suspect or has recovered.
-constexpr Duration FailedReaderDelay = seconds(3);
+/// After a VM gave no answer as a source of store updates, others are used for
+/// this long. By then it is suspect or has recovered.
+constexpr Duration SilentReaderDelay = seconds(3);
+
+/// The same for a VM that couldn't read the store, which may be back soon.
+constexpr Duration BehindReaderDelay = seconds(1);
+
+/// Mean interval between attempts at the store by any of the VMs of a zone
+/// whose readers can't read it.
+constexpr Duration ProbeInterval = seconds(1);
+
+/// How long a VM reads the store in such an attempt.
+constexpr Duration ProbeDuration = seconds(2);
 
 /// A VM reads the store for this long after another one has asked it to.
 constexpr Duration ReaderWantedDuration = seconds(5);
@@ -90,7 +101,7 @@
                    onVmsListed(Peers);
                  }),
       TickTimer_(Loop_), AnnounceTimer_(Loop_), StartTimer_(Loop_),
-      Signals_(Loop_, SIGTERM, SIGINT, SIGHUP) {
+      Random_(Incarnation), Signals_(Loop_, SIGTERM, SIGINT, SIGHUP) {
   Log_.setMaxLinesPerSecond(Settings_.LogLinesPerSecond_);
   if (!Settings_.IsFirstStart_)
     Router_.liftShiftLimit();
@@ -134,7 +145,9 @@
       announce();
   };
   Result.OnReaderFailed_ = [this](const std::string &Peer, bool IsBehind) {
-    FailedReaders_[Peer] = {getNow() + FailedReaderDelay, IsBehind};
+    FailedReaders_[Peer] = {
+        getNow() + (IsBehind ? BehindReaderDelay : SilentReaderDelay),
+        IsBehind};
     updateReader();
   };
   Result.OnReaderWanted_ = [this] {
@@ -304,8 +317,11 @@
   if (!IsReading_)
     return;
   Time Now = getNow();
+  bool IsReadingStore = View_.getSource() == StoreSource::Store;
   if (View_.isStoreUnavailable())
     FallbackReaderUntil_ = Now + FallbackReaderDuration;
+  else if (IsReadingStore)
+    FallbackReaderUntil_ = Time();
   std::erase_if(FailedReaders_, [Now](const auto &Entry) {
     return Entry.second.Until_ <= Now;
   });
@@ -317,10 +333,26 @@
   StoreSourceChoice Choice;
   if (IsStoreLost || Now >= ReaderWantedUntil_)
     Choice = selectStoreSource(Vms, Peers_.getSelf(), IsStoreLost, Failed);
+  // Some VMs may be able to read the store although the readers can't.
+  bool CanRead = IsReadingStore && !View_.isStoreUnavailable();
+  if (Choice.Source_ == StoreSource::None && (CanRead || drawProbe(Vms))) {
+    Choice = {};
+    ReaderWantedUntil_ = Now + ProbeDuration;
+  }
   View_.setSource(Choice.Source_,
                   Choice.Vm_ ? Choice.Vm_->PeerAddress_ : std::string());
 }
 
+bool SteeringVm::drawProbe(const MemberList &Vms) {
+  auto InZone = static_cast<double>(
+      std::count_if(Vms.begin(), Vms.end(), [this](const Member &Vm) {
+        return Vm.Zone_ == Settings_.Zone_;
+      }));
+  double Calls = static_cast<double>(ProbeInterval / TickPeriod);
+  return std::bernoulli_distribution(1 /
+                                     (Calls * std::max(InZone, 1.0)))(Random_);
+}
+
 void SteeringVm::reloadSettings() {
   Time Now = getNow();
   NextSettingsCheck_ = Now + SettingsCheckInterval;
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -19,6 +19,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,7 @@
   void tick();
   void reloadSettings();
   void updateReader();
+  bool drawProbe(const MemberList &Vms);
   void onVmsListed(const std::vector<std::string> &Peers);
   void startReading();
   void updateLoad();
@@ -95,6 +97,7 @@
   std::map<std::string, FailedReader> FailedReaders_; ///< By peer address.
   Time ReaderWantedUntil_;              ///< Reads the store until then.
   bool IsReading_ = false;              ///< Whether store updates are read.
+  std::mt19937_64 Random_;              ///< Draws attempts at the store.
   boost::asio::signal_set Signals_;     ///< Shutdown and reload.
   uint64_t AppliedRegistryVersion_ = 0; ///< Last version passed to the router.
   size_t MemberCount_ = 0;        ///< Number of entry VMs at the last change.
--- a/test/unit/store_source_test.cpp
+++ b/test/unit/store_source_test.cpp
@@ -133,6 +133,8 @@
         Vms.settle(CanRead, [](size_t) { return true; });
     for (const auto &[Zone, InZone] : Callers)
       CHECK(InZone.size() <= MaxReadersPerZone);
+    // In each zone, at least one of them goes on trying.
+    CHECK(Vms.count(StoreSource::Store) >= Zones);
   }
 }
 
