Fix: [Request] The share of another region falls at a bounded rate as well

Change: while a region's share lies below its recent highest value by more than the limit allows in 2 s, requests go there that start at once and end within their objective.

Result: the new test fails without the change (0.4 to 0 at once).

--- a/src/request/region_shift_limiter.cpp
+++ b/src/request/region_shift_limiter.cpp
@@ -60,6 +60,19 @@
          To.RecentShare_ + AvailableGrowth_;
 }
 
+bool RegionShiftLimiter::isFallingTooFast(std::string_view RegionName,
+                                          Time Now) {
+  if (Now < UnlimitedUntil_ || IsLiftedFromFirst_)
+    return false;
+  advance(Now);
+  const Region &To = getRegion(RegionName);
+  // The recent share is the highest one, random peaks included.
+  double MaxFall = MaxWindowGrowth_ *
+                   static_cast<double>(GrowthPeriod.count()) /
+                   static_cast<double>(Window.count());
+  return To.Requests_ / (TotalRequests_ + 1) < To.RecentShare_ - MaxFall;
+}
+
 void RegionShiftLimiter::recordStart(std::string_view RegionName, Time Now) {
   advance(Now);
   if (Steps_.empty() || Steps_.back().Start_ + StepLength <= Now)
--- a/src/request/region_shift_limiter_base.h
+++ b/src/request/region_shift_limiter_base.h
@@ -11,10 +11,11 @@
 
 namespace cranberry {
 
-/// Limits the growth rate of the shares of requests that run in other regions.
-/// Each region gets a ramp, even if the requests ran in a third region before.
-/// Shares may fall at any rate. After a failure the limit is lifted for a
-/// while, as a region may have lost its servers.
+/// Limits the rate at which the shares of requests that run in other regions
+/// change. Each region gets a ramp, even if the requests ran in a third region
+/// before. A share that falls faster than the limit, as after a burst, is to be
+/// kept up by requests that don't suffer from it. After a failure the limit is
+/// lifted for a while, as a region may have lost its servers.
 class RegionShiftLimiter {
 public:
   /// \param MaxGrowth Maximum growth of all shares together within
@@ -40,6 +41,10 @@
   /// \return Whether one more request may be sent to \p RegionName.
   bool canSendTo(std::string_view RegionName, Time Now);
 
+  /// \return Whether the share of \p RegionName has fallen by more than the
+  /// limit, so that requests should go there even if this region has room.
+  bool isFallingTooFast(std::string_view RegionName, Time Now);
+
 private:
   /// Traffic to another region.
   struct Region {
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -260,6 +260,12 @@
     if (IsOtherRegion && isCheaper(Next, Result.BestOtherRegion_) &&
         ShiftLimiter_.canSendTo(Config.Region_, Now))
       Result.BestOtherRegion_ = Next;
+    bool IsHarmless =
+        Next.Wait_ == Duration(0) && Now + Next.Finish_ <= Request.ObjectiveAt_;
+    if (IsOtherRegion && IsHarmless &&
+        isCheaper(Next, Result.BestFallingRegion_) &&
+        ShiftLimiter_.isFallingTooFast(Config.Region_, Now))
+      Result.BestFallingRegion_ = Next;
   }
   return Result;
 }
@@ -284,6 +290,8 @@
   else if (Found.BestOtherRegion_.Server_ &&
            isCheaper(Found.BestOtherRegion_, Best))
     Best = Found.BestOtherRegion_;
+  else if (Found.BestFallingRegion_.Server_)
+    Best = Found.BestFallingRegion_;
   return shouldWarmFirstServer(Request, Found.FirstServer_, Best, Now)
              ? Found.FirstServer_
              : Best;
--- a/src/request/service_balancer_base.h
+++ b/src/request/service_balancer_base.h
@@ -115,6 +115,8 @@
     Candidate Best_;                ///< In this region.
     Candidate BestOtherRegion_;     ///< Within the limit of shifts.
     Candidate CheapestOtherRegion_; ///< Regardless of the limit.
+    /// In a region whose share of requests falls too fast.
+    Candidate BestFallingRegion_;
     /// First server of the object in this region.
     Candidate FirstServer_;
     /// Server of the lowest cost if servers had no rate limits.
--- a/test/process/departure_test.cpp
+++ b/test/process/departure_test.cpp
@@ -166,6 +166,7 @@
   F.startAll();
   std::atomic<int> Succeeded = 0;
   std::vector<std::thread> Clients;
+  Clients.reserve(4);
   for (int I = 0; I < 4; ++I)
     Clients.emplace_back([&F, &Succeeded, I] {
       RouteClient Client(F.Fleet_.vm(0).FrontLink_->getAddress());
--- a/test/unit/vm_load_test.cpp
+++ b/test/unit/vm_load_test.cpp
@@ -153,3 +153,27 @@
   CHECK(Far >= 40);
   CHECK(Far <= 65);
 }
+
+TEST_CASE("the share of another region falls at a bounded rate after a burst") {
+  RegionShiftLimiter Limiter(0.14);
+  Time Now{seconds(100)};
+  std::vector<bool> Sent;
+  // The region is short of room for 20 s, and has enough afterwards.
+  for (int I = 0; I < 8000; ++I) {
+    Now += milliseconds(5);
+    bool Leaves = I < 4000 ? I % 5 < 2 && Limiter.canSendTo("far", Now)
+                           : Limiter.isFallingTooFast("far", Now);
+    Limiter.recordStart(Leaves ? "far" : "", Now);
+    Sent.push_back(Leaves);
+  }
+  auto GetShare = [&Sent](size_t From) {
+    int Far = 0;
+    for (size_t I = From; I < From + 400; ++I)
+      Far += Sent[I] ? 1 : 0;
+    return Far / 400.0;
+  };
+  REQUIRE(GetShare(3500) > 0.35);
+  for (size_t From = 3000; From + 800 <= Sent.size(); From += 20)
+    CHECK(GetShare(From) - GetShare(From + 400) <= 0.15);
+  CHECK(GetShare(7600) == 0);
+}
