--- a/bench/steering_bench.cpp
+++ b/bench/steering_bench.cpp
@@ -18,12 +18,12 @@
 void print(const SteeringModelPlan &Plan, const SteeringModelReport &Report) {
   double All = std::max(1U, Report.Offered_);
   double Run = std::max(1U, Report.InTime_ + Report.Late_);
-  std::printf("%-16s %4u %5.2f %8u %8.3f %6.3f %8.3f %6.3f %7u %7.0f %7.0f\n",
-              SteeringPolicyNames[static_cast<size_t>(Plan.Policy_)],
-              Plan.VmsPerZone_, Plan.Load_, Report.Offered_,
-              Report.InTime_ / All, Report.Late_ / All, Report.Refused_ / All,
-              Report.Warm_ / Run, Report.Repeats_, Report.getLatency(0.5),
-              Report.getLatency(0.99));
+  std::printf(
+      "%-16s %4u %5.2f %8u %8.3f %6.3f %8.3f %6.3f %7u %7u %7.0f %7.0f\n",
+      SteeringPolicyNames[static_cast<size_t>(Plan.Policy_)], Plan.VmsPerZone_,
+      Plan.Load_, Report.Offered_, Report.InTime_ / All, Report.Late_ / All,
+      Report.Refused_ / All, Report.Warm_ / Run, Report.Repeats_, Report.Cut_,
+      Report.getLatency(0.5), Report.getLatency(0.99));
 }
 
 } // namespace
@@ -32,6 +32,9 @@
   namespace po = boost::program_options;
   SteeringModelPlan Plan;
   unsigned Seconds = 30;
+  unsigned WorkMs = 310;
+  unsigned ObjectiveMs = 400;
+  unsigned DeadlineMs = 2000;
   std::vector<double> Loads;
   std::vector<unsigned> Vms;
   po::options_description Flags(
@@ -48,6 +51,12 @@
       ("noise", po::value(&Plan.Server_.NoiseShare_)->default_value(Plan.Server_.NoiseShare_), "share of time with a noisy neighbour on the host")
       ("objects", po::value(&Plan.Objects_)->default_value(Plan.Objects_), "distinct objects requested by a zone's clients")
       ("wave", po::value(&Plan.Wave_)->default_value(Plan.Wave_), "amplitude of a zone's load variation")
+      ("shared-objects", po::bool_switch(&Plan.AreObjectsShared_), "all zones request the same objects")
+      ("skew", po::value(&Plan.Skew_)->default_value(Plan.Skew_), "exponent of the objects' popularity")
+      ("work-ms", po::value(&WorkMs)->default_value(WorkMs), "service time without a cache hit, in ms")
+      ("objective-ms", po::value(&ObjectiveMs)->default_value(ObjectiveMs), "latency objective, in ms")
+      ("deadline-ms", po::value(&DeadlineMs)->default_value(DeadlineMs), "time after which open requests are cut, in ms")
+      ("burst", po::value(&Plan.BurstFactor_)->default_value(Plan.BurstFactor_), "load of a burst from second 5 to 9, relative to the load")
       ("seconds", po::value(&Seconds)->default_value(Seconds), "duration of a run, in seconds")
       ("seed", po::value(&Plan.Seed_)->default_value(Plan.Seed_), "random seed")
       ("help", "print this and exit");
@@ -65,10 +74,15 @@
     return 2;
   }
   Plan.Length_ = seconds(Seconds);
-  std::printf("seed %llu\n%-16s %4s %5s %8s %8s %6s %8s %6s %7s %7s %7s\n",
+  Plan.Server_.Work_ = milliseconds(WorkMs);
+  Plan.Objective_ = milliseconds(ObjectiveMs);
+  Plan.Deadline_ = milliseconds(DeadlineMs);
+  Plan.BurstFrom_ = seconds(5);
+  Plan.BurstLength_ = seconds(4);
+  std::printf("seed %llu\n%-16s %4s %5s %8s %8s %6s %8s %6s %7s %7s %7s %7s\n",
               static_cast<unsigned long long>(Plan.Seed_), "policy", "vms",
               "load", "offered", "in time", "late", "refused", "warm", "shed",
-              "p50 ms", "p99 ms");
+              "cut", "p50 ms", "p99 ms");
   for (unsigned Count : Vms)
     for (double Load : Loads)
       for (SteeringPolicy Policy :
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -170,7 +170,7 @@
   json Root;
   try {
     Root = json::parse(Text);
-  } catch (const json::parse_error &Error) {
+  } catch (const json::exception &Error) { // A number may be out of range.
     Faults.push_back({ResultCode::SettingsNotJson, "", Error.what()});
     return std::nullopt;
   }
--- a/test/unit/surface_test.cpp
+++ b/test/unit/surface_test.cpp
@@ -87,6 +87,13 @@
   CHECK(Errors.front().Code_ == ResultCode::SettingsFileMissing);
 }
 
+TEST_CASE("settings with a number out of range are refused") {
+  std::vector<Reason> Faults;
+  CHECK_FALSE(parseSettings(R"({"vm": 41e999})", Faults));
+  REQUIRE(Faults.size() == 1);
+  CHECK(Faults[0].Code_ == ResultCode::SettingsNotJson);
+}
+
 TEST_CASE("all errors of the settings are reported together") {
   std::vector<Reason> Errors;
   CHECK_FALSE(parseSettings(R"({"vm":"","zone":"z","colour":1})", Errors));
