--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -13,8 +13,8 @@
 using SettingsField =
     std::variant<std::string Settings::*, std::vector<std::string> Settings::*,
                  std::map<std::string, std::string> Settings::*,
-                 unsigned Settings::*, double Settings::*,
-                 Duration Settings::*, bool Settings::*>;
+                 unsigned Settings::*, double Settings::*, Duration Settings::*,
+                 bool Settings::*>;
 
 /// Settings key.
 struct SettingsRow {
