--- a/test/fuzz/decoder_fuzz.cpp
+++ b/test/fuzz/decoder_fuzz.cpp
@@ -90,6 +90,8 @@
 
 } // namespace
 
+// libFuzzer calls this name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t *Data, size_t Size) {
   std::string Text(reinterpret_cast<const char *>(Data), Size);
   decodeStoreTexts(Text);
--- a/test/fuzz/mutation_main.cpp
+++ b/test/fuzz/mutation_main.cpp
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+// Defined in decoder_fuzz.cpp; libFuzzer gives the name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t *Data, size_t Size);
 
 namespace {
