--- a/review/standin/harness.cc
+++ b/review/standin/harness.cc
@@ -23,6 +23,7 @@
 #include <poll.h>
 #include <set>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -634,6 +635,7 @@
       cannotRun("target/cranberryd is missing; run the deploy file's build");
     Pid_ = fork();
     if (Pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL); // Ends with the script.
       int Out = open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(Out, 1);
       dup2(Out, 2);
