Fix: [Steering] VMs whose zone's readers the store refuses follow another source

Cause: selectStoreSource() had no source for a VM behind its zone's readers when these said that they can't read the store. Readers of other zones weren't asked, and the store was tried at random, once a second for the zone. A VM whose trial succeeded gave the store up after 2 s for the refused readers. VMs with another source, the refused readers among them, asked the refused ones again every second and waited 250 ms for each answer.

Change: such a VM follows the first reader of another zone, or, with fewer than four others to ask, the next VMs of its own zone read the store. A substitute and a successful trial are kept for 10 s. A VM that doesn't read the store refuses lists and watches at once.

The test of a third of the VMs refused allowed ten VMs without a source; it now demands a source for each VM that the store serves.

A VM whose four readers and the four others that it asks are all refused still relies on trials at random.

--- a/src/process/store_reader.cpp
+++ b/src/process/store_reader.cpp
@@ -3,22 +3,25 @@
 
 #include "process/member_selection_func.h"
 
+#include <algorithm>
+#include <optional>
 #include <vector>
 
 namespace cranberry {
 
 namespace {
 
-/// A VM that can't read the store tries it again once this many others have
-/// failed to relay it.
-constexpr size_t MaxOthersAsked = 3;
+/// A VM that hears of no changes from the readers of its zone asks this many
+/// others before it concludes that the store answers nobody.
+constexpr size_t MaxOthersAsked = MaxReadersPerZone;
 
-/// \return The VMs of a zone that may read the store, in their order.
-std::vector<const Member *> selectReaders(const MemberList &Members,
-                                          const std::string &Zone) {
+/// \return The first \p Count VMs of a zone in its common order.
+std::vector<const Member *> selectFirstVms(const MemberList &Members,
+                                           const std::string &Zone,
+                                           size_t Count) {
   std::set<std::string> Taken;
   std::vector<const Member *> Result;
-  while (Result.size() < MaxReadersPerZone) {
+  while (Result.size() < Count) {
     const Member *Next =
         selectMember(Members, Zone + "/reader", [&](const Member &Vm) {
           return Vm.Zone_ == Zone && !Taken.contains(Vm.Vm_);
@@ -31,49 +34,64 @@
   return Result;
 }
 
-/// \return Names of the VMs of all zones that may read the store.
-std::set<std::string> selectAllReaders(const MemberList &Members) {
-  std::set<std::string> Zones;
-  for (const Member &Vm : Members)
-    Zones.insert(Vm.Zone_);
-  std::set<std::string> Result;
-  for (const std::string &Zone : Zones)
-    for (const Member *Reader : selectReaders(Members, Zone))
-      Result.insert(Reader->Vm_);
-  return Result;
-}
-
 bool hasFailed(const Member &Vm, const FailedReaders &Failed) {
   return Failed.Silent_.contains(Vm.PeerAddress_) ||
          Failed.Behind_.contains(Vm.PeerAddress_);
 }
 
-/// Selects another VM for one that can't read the store.
-StoreSourceChoice selectOther(const MemberList &Members, const Member &Self,
-                              const std::vector<const Member *> &Readers,
-                              const FailedReaders &Failed) {
-  // Where others can't read the store either, it may be back at any moment.
-  if (Failed.Silent_.size() + Failed.Behind_.size() >= MaxOthersAsked)
-    return {};
-  auto CanRelay = [&](const Member &Vm) {
-    return Vm.Vm_ != Self.Vm_ && !hasFailed(Vm, Failed);
-  };
-  for (const Member *Reader : Readers)
-    if (CanRelay(*Reader))
-      return {StoreSource::Vm, Reader};
-  // A VM that is asked reads the store, so only those that may are asked.
-  std::set<std::string> All = selectAllReaders(Members);
-  auto CanAsk = [&](const Member &Vm) {
-    return CanRelay(Vm) && All.contains(Vm.Vm_);
-  };
-  const Member *Other = selectMember(Members, Self.Vm_, [&](const Member &Vm) {
-    return CanAsk(Vm) && Vm.Region_ == Self.Region_;
-  });
-  if (!Other)
-    Other = selectMember(Members, Self.Vm_, CanAsk);
-  if (Other)
-    return {StoreSource::Vm, Other};
-  return {};
+/// Selects a reader of another zone. Those that probably read the store anyway
+/// come first: the first of each zone, then the second ones.
+/// \return The reader, or null if all have failed.
+const Member *selectForeignReader(const MemberList &Members, const Member &Self,
+                                  const FailedReaders &Failed) {
+  std::set<std::string> Zones;
+  for (const Member &Vm : Members)
+    if (Vm.Zone_ != Self.Zone_)
+      Zones.insert(Vm.Zone_);
+  std::vector<std::vector<const Member *>> ByZone;
+  ByZone.reserve(Zones.size());
+  for (const std::string &Zone : Zones)
+    ByZone.push_back(selectFirstVms(Members, Zone, MaxReadersPerZone));
+  for (size_t Rank = 0; Rank < MaxReadersPerZone; ++Rank) {
+    std::set<std::string> Candidates;
+    for (const std::vector<const Member *> &Readers : ByZone)
+      if (Rank < Readers.size() && !hasFailed(*Readers[Rank], Failed))
+        Candidates.insert(Readers[Rank]->Vm_);
+    auto CanAsk = [&](const Member &Vm) { return Candidates.contains(Vm.Vm_); };
+    const Member *Found =
+        selectMember(Members, Self.Vm_, [&](const Member &Vm) {
+          return CanAsk(Vm) && Vm.Region_ == Self.Region_;
+        });
+    if (!Found)
+      Found = selectMember(Members, Self.Vm_, CanAsk);
+    if (Found)
+      return Found;
+  }
+  return nullptr;
+}
+
+/// Selects a source for a VM whose zone's readers all have failed.
+/// \return The source, or std::nullopt if enough others have failed.
+std::optional<StoreSourceChoice>
+selectBeyondReaders(const MemberList &Members, const Member &Self,
+                    bool IsStoreLost, const FailedReaders &Failed) {
+  std::vector<const Member *> InOrder =
+      selectFirstVms(Members, Self.Zone_, MaxReadersPerZone + MaxOthersAsked);
+  size_t OthersFailed = Failed.Silent_.size() + Failed.Behind_.size();
+  for (size_t I = 0; I < std::min(InOrder.size(), MaxReadersPerZone); ++I)
+    OthersFailed -= hasFailed(*InOrder[I], Failed) ? 1 : 0;
+  if (OthersFailed >= MaxOthersAsked)
+    return std::nullopt;
+  if (const Member *Reader = selectForeignReader(Members, Self, Failed))
+    return StoreSourceChoice{StoreSource::Vm, Reader, true};
+  // With few other zones, the next VMs of this zone read the store.
+  for (size_t I = MaxReadersPerZone; I < InOrder.size(); ++I) {
+    if (InOrder[I]->Vm_ == Self.Vm_ && !IsStoreLost)
+      return StoreSourceChoice{StoreSource::Store, nullptr, true};
+    if (InOrder[I]->Vm_ != Self.Vm_ && !hasFailed(*InOrder[I], Failed))
+      return StoreSourceChoice{StoreSource::Vm, InOrder[I], true};
+  }
+  return std::nullopt;
 }
 
 } // namespace
@@ -81,18 +99,26 @@
 StoreSourceChoice selectStoreSource(const MemberList &Members,
                                     const Member &Self, bool IsStoreLost,
                                     const FailedReaders &Failed) {
-  std::vector<const Member *> Readers = selectReaders(Members, Self.Zone_);
-  if (IsStoreLost)
-    return selectOther(Members, Self, Readers, Failed);
+  bool IsReader = false;
   bool IsAnyBehind = false;
-  for (const Member *Reader : Readers) {
-    if (Reader->Vm_ == Self.Vm_)
-      return {};
-    if (!hasFailed(*Reader, Failed))
-      return {StoreSource::Vm, Reader};
+  for (const Member *Reader :
+       selectFirstVms(Members, Self.Zone_, MaxReadersPerZone)) {
+    if (Reader->Vm_ == Self.Vm_) {
+      IsReader = true;
+      if (!IsStoreLost)
+        return {};
+    } else if (!hasFailed(*Reader, Failed)) {
+      return {StoreSource::Vm, Reader, IsStoreLost};
+    }
     IsAnyBehind = IsAnyBehind || Failed.Behind_.contains(Reader->PeerAddress_);
   }
-  return {IsAnyBehind ? StoreSource::None : StoreSource::Store, nullptr};
+  if (!IsAnyBehind && !IsStoreLost)
+    return {};
+  if (std::optional<StoreSourceChoice> Other =
+          selectBeyondReaders(Members, Self, IsStoreLost, Failed))
+    return *Other;
+  return {IsReader || !IsAnyBehind ? StoreSource::Store : StoreSource::None,
+          nullptr};
 }
 
 } // namespace cranberry
--- a/src/process/store_reader_func.h
+++ b/src/process/store_reader_func.h
@@ -23,6 +23,7 @@
 struct StoreSourceChoice {
   StoreSource Source_ = StoreSource::Store; ///< Kind of the source.
   const Member *Vm_ = nullptr; ///< The entry VM, if that is the source.
+  bool IsSubstitute_ = false;  ///< Whether it replaces failed readers.
 };
 
 /// Peer addresses of entry VMs that recently failed as a source.
@@ -39,12 +40,14 @@
 ///
 /// The VMs of a zone have a common order, by rendezvous hash. The first one
 /// reads the store and relays it to the others; if it fails, the second one
-/// does, and so on up to MaxReadersPerZone. So the number of VMs that call a
-/// troubled store doesn't grow with the fleet: a VM behind those in the order
-/// reads the store itself only if all of them are silent.
-/// \param IsStoreLost Whether \p Self can't read the store. Then it follows
-/// another entry VM, of its own zone or region if possible, unless some of them
-/// have failed as well.
+/// does, and so on up to MaxReadersPerZone. A VM that none of them can tell of
+/// changes follows a reader of another zone, or, with few other zones, one of
+/// the next VMs in the order, which then reads the store. So the number of VMs
+/// that call a troubled store doesn't grow with the fleet.
+/// \param IsStoreLost Whether \p Self can't read the store.
+/// \param Failed VMs that \p Self has asked in vain.
+/// \return The source. If all VMs that may be asked have failed, it is the
+/// store for a reader, which goes on trying it, and none for the others.
 StoreSourceChoice selectStoreSource(const MemberList &Members,
                                     const Member &Self, bool IsStoreLost,
                                     const FailedReaders &Failed);
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -34,9 +34,16 @@
 /// this long. By then it is suspect or has recovered.
 constexpr Duration SilentReaderDelay = seconds(3);
 
-/// The same for a VM that couldn't read the store, which may be back soon.
+/// If no other VM could read the store, they are asked again after this time.
 constexpr Duration BehindReaderDelay = seconds(1);
 
+/// The same if updates come from a substitute. Each attempt interrupts them.
+constexpr Duration SubstituteDuration = seconds(10);
+
+/// Longest time in which all VMs that may be asked answer that they can't read
+/// the store.
+constexpr Duration MaxAskDuration = seconds(2);
+
 /// Mean interval between attempts at the store by any of the VMs of a zone
 /// whose readers can't read it.
 constexpr Duration ProbeInterval = seconds(1);
@@ -145,9 +152,13 @@
       announce();
   };
   Result.OnReaderFailed_ = [this](const std::string &Peer, bool IsBehind) {
-    FailedReaders_[Peer] = {
-        getNow() + (IsBehind ? BehindReaderDelay : SilentReaderDelay),
-        IsBehind};
+    Time Now = getNow();
+    if (IsBehind) {
+      BehindReaders_.insert(Peer);
+      LastBehindTime_ = Now;
+    } else {
+      SilentReaders_[Peer] = Now + SilentReaderDelay;
+    }
     updateReader();
   };
   Result.OnReaderWanted_ = [this] {
@@ -317,32 +328,46 @@
   if (!IsReading_)
     return;
   Time Now = getNow();
-  bool IsReadingStore = View_.getSource() == StoreSource::Store;
-  if (View_.isStoreUnavailable())
+  if (View_.isStoreUnavailable()) {
     FallbackReaderUntil_ = Now + FallbackReaderDuration;
-  else if (IsReadingStore)
+  } else if (View_.getSource() == StoreSource::Store) {
     FallbackReaderUntil_ = Time();
-  std::erase_if(FailedReaders_, [Now](const auto &Entry) {
-    return Entry.second.Until_ <= Now;
-  });
-  FailedReaders Failed;
-  for (const auto &[Peer, Failure] : FailedReaders_)
-    (Failure.IsBehind_ ? Failed.Behind_ : Failed.Silent_).insert(Peer);
-  bool IsStoreLost = Now < FallbackReaderUntil_;
+    LastStoreReadTime_ = Now;
+  }
+  forgetFailedReaders(Now);
   const MemberList Vms = Peers_.getMembers();
-  StoreSourceChoice Choice;
-  if (IsStoreLost || Now >= ReaderWantedUntil_)
-    Choice = selectStoreSource(Vms, Peers_.getSelf(), IsStoreLost, Failed);
+  StoreSourceChoice Choice = selectSource(Vms, Now);
   // Some VMs may be able to read the store although the readers can't.
-  bool CanRead = IsReadingStore && !View_.isStoreUnavailable();
+  bool CanRead =
+      !View_.isStoreUnavailable() && Now - LastStoreReadTime_ < MaxAskDuration;
   if (Choice.Source_ == StoreSource::None && (CanRead || drawProbe(Vms))) {
-    Choice = {};
+    Choice = {StoreSource::Store, nullptr, true};
     ReaderWantedUntil_ = Now + ProbeDuration;
   }
+  HasSubstitute_ = Choice.IsSubstitute_;
   View_.setSource(Choice.Source_,
                   Choice.Vm_ ? Choice.Vm_->PeerAddress_ : std::string());
 }
 
+void SteeringVm::forgetFailedReaders(Time Now) {
+  std::erase_if(SilentReaders_,
+                [Now](const auto &Entry) { return Entry.second <= Now; });
+  Duration Delay = HasSubstitute_ ? SubstituteDuration : BehindReaderDelay;
+  if (Now - LastBehindTime_ >= Delay)
+    BehindReaders_.clear();
+}
+
+StoreSourceChoice SteeringVm::selectSource(const MemberList &Vms, Time Now) {
+  bool IsStoreLost = Now < FallbackReaderUntil_;
+  if (!IsStoreLost && Now < ReaderWantedUntil_)
+    return {StoreSource::Store, nullptr, HasSubstitute_};
+  FailedReaders Failed;
+  for (const auto &[Peer, Until] : SilentReaders_)
+    Failed.Silent_.insert(Peer);
+  Failed.Behind_ = BehindReaders_;
+  return selectStoreSource(Vms, Peers_.getSelf(), IsStoreLost, Failed);
+}
+
 bool SteeringVm::drawProbe(const MemberList &Vms) {
   auto InZone = static_cast<double>(
       std::count_if(Vms.begin(), Vms.end(), [this](const Member &Vm) {
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -20,6 +20,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,12 +45,6 @@
   void run();
 
 private:
-  /// A VM that failed as a source of store updates.
-  struct FailedReader {
-    Time Until_;    ///< Time until which others are used.
-    bool IsBehind_; ///< Whether it answered that it can't read the store.
-  };
-
   Member makeSelf(uint64_t Incarnation) const;
   StoreViewHandlers makeViewHandlers();
   nlohmann::json makeVmEntry() const;
@@ -61,6 +56,8 @@
   void tick();
   void reloadSettings();
   void updateReader();
+  void forgetFailedReaders(Time Now);
+  StoreSourceChoice selectSource(const MemberList &Vms, Time Now);
   bool drawProbe(const MemberList &Vms);
   void onVmsListed(const std::vector<std::string> &Peers);
   void startReading();
@@ -94,10 +91,18 @@
   boost::asio::steady_timer TickTimer_;     ///< Timer of periodic work.
   boost::asio::steady_timer AnnounceTimer_; ///< Timer of the next registration.
   boost::asio::steady_timer StartTimer_;    ///< Ends the wait for contact.
-  std::map<std::string, FailedReader> FailedReaders_; ///< By peer address.
-  Time ReaderWantedUntil_;              ///< Reads the store until then.
-  bool IsReading_ = false;              ///< Whether store updates are read.
-  std::mt19937_64 Random_;              ///< Draws attempts at the store.
+  std::map<std::string, Time>
+      SilentReaders_; ///< VMs that gave no answer, by peer address, and until
+                      ///< when others are used.
+  std::set<std::string> BehindReaders_; ///< VMs that can't read the store.
+  Time LastBehindTime_;                 ///< When one was added to them.
+  bool HasSubstitute_ = false; ///< Whether updates come from another source
+                               ///< than the zone's readers.
+  Time LastStoreReadTime_;     ///< When the store was last the source and
+                               ///< could be read.
+  Time ReaderWantedUntil_;     ///< Reads the store until then.
+  bool IsReading_ = false;     ///< Whether store updates are read.
+  std::mt19937_64 Random_;     ///< Draws attempts at the store.
   boost::asio::signal_set Signals_;     ///< Shutdown and reload.
   uint64_t AppliedRegistryVersion_ = 0; ///< Last version passed to the router.
   size_t MemberCount_ = 0;        ///< Number of entry VMs at the last change.
--- a/src/steering/store_relay.cpp
+++ b/src/steering/store_relay.cpp
@@ -27,8 +27,8 @@
 } // namespace
 
 StoreRelay::StoreRelay(boost::asio::io_context &Loop,
-                       std::function<bool()> IsFresh)
-    : Loop_(Loop), IsFresh_(std::move(IsFresh)) {}
+                       std::function<RelayState()> GetState)
+    : Loop_(Loop), GetState_(std::move(GetState)) {}
 
 void StoreRelay::handleRequest(const IngressExchangePtr &Exchange) {
   std::optional<platform::StoreQuery> Question =
@@ -38,8 +38,8 @@
     return;
   }
   bool IsList = !Question->WatchFrom_;
-  if (!IsFresh_()) {
-    if (IsList && !Followers_.at(Question->Kind_)->isUnavailable())
+  if (RelayState State = GetState_(); State != RelayState::Fresh) {
+    if (IsList && State == RelayState::Pending)
       holdList(Exchange, Question->Kind_);
     else
       Exchange->respond(makeResponse(Unavailable, ""));
@@ -115,7 +115,7 @@
   }
   if (Changes->Changes_.empty() && !IsOver)
     return false;
-  if (IsFresh_())
+  if (GetState_() == RelayState::Fresh)
     respond(Waiting.Exchange_, Cache, Ok, platform::encodeChanges(*Changes));
   else
     Waiting.Exchange_->respond(makeResponse(Unavailable, ""));
@@ -123,7 +123,7 @@
 }
 
 void StoreRelay::notifyWatches(const std::string &Kind) {
-  if (!PendingLists_.empty() && IsFresh_()) {
+  if (!PendingLists_.empty() && GetState_() == RelayState::Fresh) {
     std::vector<ListPtr> Lists;
     Lists.swap(PendingLists_);
     for (const ListPtr &Each : Lists)
@@ -134,4 +134,19 @@
   });
 }
 
+void StoreRelay::refuseLists() {
+  std::vector<ListPtr> Lists;
+  Lists.swap(PendingLists_);
+  for (const ListPtr &Each : Lists)
+    Each->Exchange_->respond(makeResponse(Unavailable, ""));
+}
+
+void StoreRelay::refuseAll() {
+  refuseLists();
+  std::vector<WatchPtr> Watches;
+  Watches.swap(PendingWatches_);
+  for (const WatchPtr &Each : Watches)
+    Each->Exchange_->respond(makeResponse(Unavailable, ""));
+}
+
 } // namespace cranberry
--- a/src/steering/store_relay_base.h
+++ b/src/steering/store_relay_base.h
@@ -15,14 +15,22 @@
 
 namespace cranberry {
 
+/// Whether a VM's objects may be relayed. Other VMs use them as if read from
+/// the store, so they have to be as recent.
+enum class RelayState : uint8_t {
+  Fresh,       ///< They are recent.
+  Pending,     ///< They are being read.
+  Unavailable, ///< This VM doesn't read the store or can't.
+};
+
 /// Responds to lists and watches in the store's protocol, from the objects that
 /// this VM has read itself. A watch gets its response as soon as there are
 /// changes.
 class StoreRelay {
 public:
-  /// \param IsFresh Whether this VM's objects may be relayed. Other VMs use
-  /// them as if read from the store, so they have to be as recent.
-  StoreRelay(boost::asio::io_context &Loop, std::function<bool()> IsFresh);
+  /// \param GetState State of this VM's objects.
+  StoreRelay(boost::asio::io_context &Loop,
+             std::function<RelayState()> GetState);
 
   /// Relays the objects that \p Follower reads.
   /// \param Kind Kind of \p Follower's objects.
@@ -37,6 +45,13 @@
   /// Responds to the watches on \p Kind for which there are changes.
   void notifyWatches(const std::string &Kind);
 
+  /// Refuses the lists that wait, as the objects can't be read. Their callers
+  /// then turn to another VM at once.
+  void refuseLists();
+
+  /// Refuses the lists and the watches that wait.
+  void refuseAll();
+
 private:
   /// A watch that waits for changes.
   struct PendingWatch {
@@ -74,8 +89,8 @@
   /// \return Whether the watch is complete.
   bool tryRespondToWatch(const PendingWatch &Waiting, bool IsOver);
 
-  boost::asio::io_context &Loop_; ///< Event loop.
-  std::function<bool()> IsFresh_; ///< Whether objects may be relayed.
+  boost::asio::io_context &Loop_;        ///< Event loop.
+  std::function<RelayState()> GetState_; ///< State of this VM's objects.
   std::map<std::string, const StoreFollower *> Followers_; ///< By kind.
   std::vector<WatchPtr> PendingWatches_;     ///< Watches that wait for changes.
   std::vector<ListPtr> PendingLists_;        ///< Lists that wait.
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -62,7 +62,7 @@
                           {platform::kind::Evacuations, Duration(0),
                            OperatorWatchWait, OperatorRelayWait},
                           makeEvacuationHandlers(), Log),
-      Relay_(Loop, [this] { return isFresh(); }) {
+      Relay_(Loop, [this] { return getRelayState(); }) {
   Relay_.addKind(platform::kind::Config, ConfigFollower_);
   Relay_.addKind(platform::kind::Servers, ServerFollower_);
   Relay_.addKind(platform::kind::Evacuations, EvacuationFollower_);
@@ -85,14 +85,22 @@
                                    const std::string &Text) {
     onRelayFailed(Status, Text);
   };
+  Handlers.OnUnavailable_ = [this] { Relay_.refuseLists(); };
 }
 
-bool StoreView::isFresh() const {
-  return Source_ == StoreSource::Store && ConfigFollower_.isListed() &&
-         Registry_.isLoaded() && EvacuationFollower_.isListed() &&
-         !ConfigFollower_.isUnavailable() && !ServerFollower_.isUnavailable() &&
-         !EvacuationFollower_.isUnavailable() &&
-         ServerFollower_.getAge(getNow()) <= MaxFreshAge_;
+RelayState StoreView::getRelayState() const {
+  // A VM that starts is about to select its source.
+  bool IsStarting = Source_ == StoreSource::None && !isComplete();
+  bool IsReading = (Source_ == StoreSource::Store || IsStarting) &&
+                   !ConfigFollower_.isUnavailable() &&
+                   !ServerFollower_.isUnavailable() &&
+                   !EvacuationFollower_.isUnavailable();
+  if (!IsReading)
+    return RelayState::Unavailable;
+  bool IsFresh = !IsStarting && ConfigFollower_.isListed() &&
+                 Registry_.isLoaded() && EvacuationFollower_.isListed() &&
+                 ServerFollower_.getAge(getNow()) <= MaxFreshAge_;
+  return IsFresh ? RelayState::Fresh : RelayState::Pending;
 }
 
 void StoreView::setSource(StoreSource Source, const std::string &Peer) {
@@ -119,6 +127,8 @@
       Each->restart();
   }
   ReaderClient_ = std::move(Next);
+  if (Source != StoreSource::Store)
+    Relay_.refuseAll();
 }
 
 void StoreView::onRelayFailed(platform::StoreStatus Status,
@@ -189,7 +199,10 @@
     HaveServersChanged_ = false;
     Relay_.notifyWatches(platform::kind::Servers);
   };
-  Result.OnUnavailable_ = [this] { Registry_.onStoreLost(); };
+  Result.OnUnavailable_ = [this] {
+    Registry_.onStoreLost();
+    Relay_.refuseLists();
+  };
   Result.OnNewEra_ = [this] {
     Registry_.onStoreRolledBack(getNow());
     onNewEra(ServerFollower_);
--- a/src/steering/store_view_base.h
+++ b/src/steering/store_view_base.h
@@ -100,7 +100,7 @@
     return {&ConfigFollower_, &ServerFollower_, &EvacuationFollower_};
   }
   void onRelayFailed(platform::StoreStatus Status, const std::string &Text);
-  bool isFresh() const;
+  RelayState getRelayState() const;
 
   boost::asio::io_context &Loop_;    ///< Event loop.
   EventLog &Log_;                    ///< Event log.
--- a/test/unit/store_relay_test.cpp
+++ b/test/unit/store_relay_test.cpp
@@ -46,7 +46,7 @@
         StoreClient_(Loop_, Store_.getAddress(), platform::DirectStoreTimeouts),
         Reader_(Loop_, StoreClient_, {"things", Duration(0), seconds(5)},
                 makeHandlers(ReaderKnown_, true), Log_),
-        Relay_(Loop_, [this] { return IsFresh_ && !Reader_.isUnavailable(); }),
+        Relay_(Loop_, [this] { return getState(); }),
         RelayServer_(
             Loop_,
             [this](const IngressExchangePtr &E) { Relay_.handleRequest(E); }),
@@ -85,6 +85,12 @@
     return Handlers;
   }
 
+  RelayState getState() const {
+    if (Reader_.isUnavailable())
+      return RelayState::Unavailable;
+    return IsFresh_ ? RelayState::Fresh : RelayState::Pending;
+  }
+
   template <typename F>
   bool runUntil(F Condition, Duration Limit = LoopTimeout) {
     Time End = getNow() + Limit;
--- a/test/unit/store_source_test.cpp
+++ b/test/unit/store_source_test.cpp
@@ -22,16 +22,16 @@
 constexpr Duration LoopTimeout = seconds(20);
 constexpr unsigned Zones = 9;
 
-/// VMs in nine zones, and what they have learnt of each other.
+/// VMs of several zones, and what they have learnt of each other.
 class Fleet {
 public:
-  explicit Fleet(unsigned Count) : Failed_(Count) {
+  explicit Fleet(unsigned Count, unsigned ZoneCount = Zones) : Failed_(Count) {
     for (unsigned I = 0; I < Count; ++I) {
       Member Vm;
       Vm.Vm_ = "vm" + std::to_string(I);
       Vm.PeerAddress_ = "10.0." + std::to_string(I) + ".1:7200";
-      Vm.Zone_ = "zone-" + std::to_string(I % Zones);
-      Vm.Region_ = "region-" + std::to_string(I % Zones / 3);
+      Vm.Zone_ = "zone-" + std::to_string(I % ZoneCount);
+      Vm.Region_ = "region-" + std::to_string(I % ZoneCount / 3);
       Vms_.push_back(Vm);
     }
   }
@@ -52,6 +52,7 @@
         StoreSourceChoice Choice =
             selectStoreSource(Vms_, Vms_[I], Lost_.contains(I), Failed_[I]);
         Last_[I] = Choice.Source_;
+        IsInformed_[I] = Choice.Source_ == StoreSource::Store && CanRead(I);
         if (Choice.Source_ == StoreSource::Store) {
           Callers[Vms_[I].Zone_].insert(Vms_[I].Vm_);
           if (!CanRead(I))
@@ -62,11 +63,13 @@
         auto Reader = static_cast<size_t>(Choice.Vm_ - Vms_.data());
         if (!IsUp(Reader)) {
           Failed_[I].Silent_.insert(Choice.Vm_->PeerAddress_);
-        } else if (!CanRead(Reader)) {
-          // Asked by another VM, it has tried the store.
-          Callers[Vms_[Reader].Zone_].insert(Vms_[Reader].Vm_);
-          Failed_[I].Behind_.insert(Choice.Vm_->PeerAddress_);
+          continue;
         }
+        // Asked by another VM, it calls the store.
+        Callers[Vms_[Reader].Zone_].insert(Vms_[Reader].Vm_);
+        IsInformed_[I] = CanRead(Reader);
+        if (!CanRead(Reader))
+          Failed_[I].Behind_.insert(Choice.Vm_->PeerAddress_);
       }
     return Callers;
   }
@@ -81,11 +84,34 @@
 
   const Member &getVm(size_t Index) const { return Vms_[Index]; }
 
+  /// \return Whether the last source of a VM can read the store.
+  bool isInformed(size_t Index) const { return IsInformed_.at(Index); }
+
+  /// \return The VMs of a zone that read the store if it serves them, in their
+  /// order.
+  std::vector<size_t> getReaders(const std::string &Zone) const {
+    FailedReaders Failed;
+    std::vector<size_t> Result;
+    // Another VM of the zone that has no readers left reads the store itself.
+    Member Outsider;
+    Outsider.Vm_ = "outsider";
+    Outsider.Zone_ = Zone;
+    while (true) {
+      StoreSourceChoice Choice =
+          selectStoreSource(Vms_, Outsider, false, Failed);
+      if (Choice.Source_ != StoreSource::Vm)
+        return Result;
+      Result.push_back(static_cast<size_t>(Choice.Vm_ - Vms_.data()));
+      Failed.Silent_.insert(Choice.Vm_->PeerAddress_);
+    }
+  }
+
 private:
   MemberList Vms_;
   std::vector<FailedReaders> Failed_;
   std::set<size_t> Lost_;
   std::map<size_t, StoreSource> Last_;
+  std::map<size_t, bool> IsInformed_;
 };
 
 template <typename F>
@@ -152,11 +178,48 @@
                    [](size_t) { return true; });
     for (const auto &[Zone, InZone] : Callers)
       CHECK(InZone.size() <= MaxReadersPerZone);
-    // One in 81 zones has four refused VMs at the front of its order.
-    CHECK(Vms.count(StoreSource::None) <= 10);
+    for (size_t I = 0; I < Vms.getCount(); ++I)
+      if (!Refused.contains(I))
+        CHECK(Vms.isInformed(I));
   }
 }
 
+// Guards against VMs that stayed on an old version while the store served them
+// and turned away the four readers of their zone.
+TEST_CASE("store source: where a store refuses all readers of a zone, the zone "
+          "still hears of its changes") {
+  for (unsigned ZoneCount : {1U, 2U, 3U, 9U}) {
+    CAPTURE(ZoneCount);
+    Fleet Vms(ZoneCount * 10, ZoneCount);
+    std::vector<size_t> Readers = Vms.getReaders("zone-0");
+    REQUIRE(Readers.size() == MaxReadersPerZone);
+    std::set<size_t> Refused(Readers.begin(), Readers.end());
+    std::map<std::string, std::set<std::string>> Callers =
+        Vms.settle([&](size_t Vm) { return !Refused.contains(Vm); },
+                   [](size_t) { return true; });
+    for (size_t I = 0; I < Vms.getCount(); ++I)
+      CHECK(Vms.isInformed(I));
+    // One more VM reads the store if no other zone has a reader.
+    CHECK(Callers["zone-0"].size() <= MaxReadersPerZone + 1);
+    for (unsigned Zone = 1; Zone < ZoneCount; ++Zone)
+      CHECK(Callers["zone-" + std::to_string(Zone)].size() == 1);
+  }
+}
+
+TEST_CASE("store source: a VM that can't read the store either goes on to ask "
+          "others") {
+  Fleet Vms(18, 2);
+  std::set<size_t> Refused;
+  for (size_t Reader : Vms.getReaders("zone-0"))
+    Refused.insert(Reader);
+  std::vector<size_t> Foreign = Vms.getReaders("zone-1");
+  Refused.insert(Foreign.begin(), Foreign.begin() + 3);
+  Vms.settle([&](size_t Vm) { return !Refused.contains(Vm); },
+             [](size_t) { return true; });
+  for (size_t I = 0; I < Vms.getCount(); ++I)
+    CHECK(Vms.isInformed(I));
+}
+
 TEST_CASE("store source: VMs whose readers are all silent read the store") {
   Fleet Vms(80);
   // All VMs of a zone but one lost power, and the members don't know yet.
