Fix: [Steering] A request that outlasts the stop of its VM gets a response

Callers saw: the connection of a request that was open when a planned stop began, and whose deadline lay after the stop, ended without a response.

Cause: the end of the grace was checked once, when a request arrived. It applied neither to open requests nor to the attempts that these start during the stop.

Change: when a stop begins, the deadline of each open request is cut to 0.85 of the grace, also for the balancer and for attempts that start later. A request that is then still open gets 503 if it hasn't run, otherwise 504 with the new result stopped-after-start. The process exits at 0.9 of the grace as before, which leaves at least one tick for the responses.

--- a/src/core/result_type.h
+++ b/src/core/result_type.h
@@ -73,6 +73,7 @@
   NoEntryVm = 332,           ///< No entry VM is known to be alive.
   RouteUnknown = 333,        ///< No route matches the host and path.
   ClientGone = 334,          ///< The client disconnected before the response.
+  StoppedAfterStart = 335,   ///< This entry VM stopped during execution.
   PlatformUnreachable = 401, ///< The platform did not receive the call.
   PlatformOutcomeUnknown = 402, ///< The write may have been applied.
   PlatformRefused = 403,        ///< The platform rejected the call.
--- a/src/core/table/result_table.h
+++ b/src/core/table/result_table.h
@@ -73,6 +73,7 @@
     {ResultCode::NoEntryVm, "no-entry-vm", Outcome::NotRun, 503, "no entry VM is known to be alive"},
     {ResultCode::RouteUnknown, "route-unknown", Outcome::NotRun, 404, "no route takes the host and path"},
     {ResultCode::ClientGone, "client-gone", Outcome::Unknown, 504, "client left before the answer"},
+    {ResultCode::StoppedAfterStart, "stopped-after-start", Outcome::Unknown, 504, "this entry VM stopped before the answer"},
     {ResultCode::PlatformUnreachable, "platform-unreachable", Outcome::NotRun, 503, "the platform did not take the call; nothing was written"},
     {ResultCode::PlatformOutcomeUnknown, "platform-outcome-unknown", Outcome::Unknown, 502, "the write may have taken effect"},
     {ResultCode::PlatformRefused, "platform-refused", Outcome::NotRun, 502, "the platform refused the call"},
--- a/src/steering/client_flow_type.h
+++ b/src/steering/client_flow_type.h
@@ -50,10 +50,11 @@
   WaitingRequest Request_;             ///< Balancer's view of the request.
   std::vector<InFlightAttempt> Attempts_; ///< Attempts in flight.
   unsigned ServerCount_ = 0;              ///< Number of servers it was sent to.
-  Duration QueueTime_{0};   ///< From arrival to the first attempt.
-  bool IsQueued_ = false;   ///< Whether the balancer queues it.
-  bool MayHaveRun_ = false; ///< Whether it may have been executed.
-  std::string LastServer_;  ///< Server of the last attempt.
+  Duration QueueTime_{0};        ///< From arrival to the first attempt.
+  bool IsQueued_ = false;        ///< Whether the balancer queues it.
+  bool MayHaveRun_ = false;      ///< Whether it may have been executed.
+  bool IsCutByShutdown_ = false; ///< Whether the shutdown set its deadline.
+  std::string LastServer_;       ///< Server of the last attempt.
   std::unique_ptr<ResponseMessage>
       FailureResponse_; ///< Failure response of a server.
   std::unique_ptr<boost::asio::steady_timer>
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -225,13 +225,7 @@
     return;
   }
   eraseHopByHopFields(Message);
-  Flow->DeadlineTimer_ = std::make_unique<boost::asio::steady_timer>(
-      Loop_, Flow->Request_.Deadline_);
-  Flow->DeadlineTimer_->async_wait(
-      [this, At = Flow->Index_](error_code Cancelled) {
-        if (!Cancelled)
-          onDeadline(At);
-      });
+  startDeadlineTimer(*Flow);
   Exchange->setDisconnectHandler(
       [this, At = Flow->Index_] { onClientGone(At); });
   Flow->Pool_->RetryBudget_.recordRequest(Exchange->getArrivalTime());
@@ -240,6 +234,32 @@
   submit(Open);
 }
 
+void RequestRouter::startDeadlineTimer(ClientFlow &Flow) {
+  Flow.DeadlineTimer_ = std::make_unique<boost::asio::steady_timer>(
+      Loop_, Flow.Request_.Deadline_);
+  Flow.DeadlineTimer_->async_wait(
+      [this, At = Flow.Index_](error_code Cancelled) {
+        if (!Cancelled)
+          onDeadline(At);
+      });
+}
+
+void RequestRouter::setShutdownDeadline(Time End) {
+  ShutdownDeadline_ = End;
+  for (auto &[Index, Flow] : Flows_)
+    if (Flow->Request_.Deadline_ > End)
+      shortenDeadline(*Flow, End);
+}
+
+void RequestRouter::shortenDeadline(ClientFlow &Flow, Time End) {
+  Flow.Request_.Deadline_ = End;
+  Flow.IsCutByShutdown_ = true;
+  startDeadlineTimer(Flow);
+  // The balancer has a copy of a queued request.
+  if (Flow.IsQueued_ && Flow.Pool_->Balancer_.cancelWaiting(Flow.Index_))
+    submit(Flow);
+}
+
 void RequestRouter::submit(ClientFlow &Flow) {
   Flow.IsQueued_ = true;
   Flow.Pool_->Balancer_.submit(Flow.Request_);
@@ -286,8 +306,12 @@
   Flow.MayHaveRun_ = Flow.MayHaveRun_ || HasOpenAttempts;
   if (HasOpenAttempts)
     Flow.FailureResponse_.reset();
-  sendFailure(Flow, ResultCode::DeadlineBeforeStart,
-              ResultCode::DeadlineAfterStart, FailureRetryAfter);
+  if (Flow.IsCutByShutdown_)
+    sendFailure(Flow, ResultCode::Stopping, ResultCode::StoppedAfterStart,
+                RejectRetryAfter);
+  else
+    sendFailure(Flow, ResultCode::DeadlineBeforeStart,
+                ResultCode::DeadlineAfterStart, FailureRetryAfter);
 }
 
 void RequestRouter::onClientGone(FlowIndex Index) {
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -63,9 +63,10 @@
   /// \return Counters of the traffic since the start.
   TrafficCounters getTraffic() const { return {NextFlow_ - 1, SentBytes_}; }
 
-  /// Sets the time at which the process exits. Requests with a later deadline
-  /// are rejected from now on.
-  void setShutdownDeadline(Time End) { ShutdownDeadline_ = End; }
+  /// Sets the time by which every request must have its response. From now on,
+  /// requests with a later deadline are rejected; those that are open already
+  /// have until \p End.
+  void setShutdownDeadline(Time End);
 
   /// \return Number of requests without a response so far.
   size_t getOpenFlowCount() const { return Flows_.size(); }
@@ -132,6 +133,8 @@
   bool tryRetry(ClientFlow &Flow, AttemptOutcome Outcome);
   void handleOutcome(ClientFlow &Flow, AttemptOutcome Outcome,
                      AttemptResult Result);
+  void startDeadlineTimer(ClientFlow &Flow);
+  void shortenDeadline(ClientFlow &Flow, Time End);
   void onDeadline(FlowIndex Index);
   void onClientGone(FlowIndex Index);
   void sendFailure(ClientFlow &Flow, ResultCode IfNotRun, ResultCode IfUnknown,
@@ -155,7 +158,7 @@
       Flows_;                           ///< Requests in flight.
   LeavingHandler OnLeaving_;            ///< See the setter.
   std::function<void()> OnRateLimit_;   ///< See the setter.
-  Time ShutdownDeadline_ = Time::max(); ///< Time at which the process exits.
+  Time ShutdownDeadline_ = Time::max(); ///< Latest deadline during shutdown.
   uint64_t NextFlow_ = 1;               ///< Index of the next flow.
   uint64_t SentBytes_ = 0;              ///< See getTraffic().
 };
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -69,8 +69,12 @@
 /// connections. The rest is for the last requests.
 constexpr double AcceptGraceShare = 0.72;
 
-/// Share of the grace period after which the process exits even if requests are
-/// in flight. An overloaded machine needs some hundred milliseconds to end it.
+/// Share of the grace period after which every request has its response. The
+/// time until the exit is for sending it.
+constexpr double ResponseGraceShare = 0.85;
+
+/// Share of the grace period after which the process exits even if connections
+/// are open. An overloaded machine needs some hundred milliseconds to end it.
 constexpr double ExitGraceShare = 0.9;
 
 constexpr unsigned Ok = 200;
@@ -418,7 +422,7 @@
   Peers_.announceLeave();
   ClientPort_.startDrain();
   Router_.setShutdownDeadline(
-      getNow() + scaleDuration(Settings_.StopGrace_, ExitGraceShare));
+      getNow() + scaleDuration(Settings_.StopGrace_, ResponseGraceShare));
   Store_.remove(platform::kind::EntryVms, Settings_.Vm_,
                 [](const StoreResponse &) {});
   Log_.write(
