Fix: [Daemon] A request that arrives during a drain has its response before its end

Callers of the project's own interface saw: a request that arrived during a planned stop was passed on with the deadline that the caller had asked for, and its connection ended without a response at the end of the drain.

Cause: Daemon::drain() waits for open requests up to the drain limit, which new requests didn't know.

Evidence: "report: a request that arrives during a planned stop*" on: exit code 3 and no response; the request had run.

Change: a request that is submitted during a drain has until 300 ms before its end, and is refused after that.

Result: the caller gets an unknown outcome and the process exits with 0. Requests that were open before the drain are as before: exit code 3.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -16,6 +16,8 @@
 
 constexpr Duration DrainPollInterval = milliseconds(20);
 constexpr Duration PeerShutdownTimeout = seconds(1);
+/// Time before the end of a drain that is left for sending the last responses.
+constexpr Duration DrainResponseTime = milliseconds(300);
 /// Time until all peers know that this VM is leaving.
 constexpr Duration LeavePropagationDelay = seconds(2);
 
@@ -182,6 +184,8 @@
   // VM until they learn that it is leaving.
   Time Lapsed = Started + LeavePropagationDelay + Settings_.LookupTtl_;
   Time Limit = std::max(Lapsed, Started + Settings_.DrainLimit_);
+  for (std::unique_ptr<TrafficThread> &Thread : TrafficThreads_)
+    Thread->startDrain(Limit - DrainResponseTime);
   auto IsIdle = [this] {
     return !HttpServer_->hasOpenRequests() && OpenForwards_ == 0;
   };
--- a/src/daemon/service_traffic.cpp
+++ b/src/daemon/service_traffic.cpp
@@ -133,7 +133,10 @@
 }
 
 void ServiceTraffic::submit(CallSpec Call, CallCallback End) {
-  Call.Timeout_ = getTimeout(Call);
+  Duration UntilDrainEnd = Context_.DrainEnd_ - Call.Arrived_;
+  if (UntilDrainEnd <= Duration::zero())
+    return End({ResultCode::Stopping, nullptr, ""});
+  Call.Timeout_ = std::min(getTimeout(Call), UntilDrainEnd);
   if (!Context_.Snapshot_->Config_->findService(Name_))
     return End({ResultCode::ServiceUnknown, nullptr, ""});
   bool NeedsKey =
--- a/src/daemon/service_traffic_base.h
+++ b/src/daemon/service_traffic_base.h
@@ -26,6 +26,7 @@
   Metrics *Metrics_;                        ///< Counts requests and attempts.
   SnapshotPtr Snapshot_;                    ///< Latest control state.
   std::map<std::string, LinkBudget> Links_; ///< By destination region.
+  Time DrainEnd_ = Time::max(); ///< Latest deadline of new requests.
 };
 
 /// Statistics of a service on this entry VM.
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -27,6 +27,10 @@
     Thread_.join();
 }
 
+void TrafficThread::startDrain(Time End) {
+  Loop_.post([this, End] { Context_.DrainEnd_ = End; });
+}
+
 void TrafficThread::submit(CallSpec Call, CallCallback End) {
   Loop_.post([this, Call = std::move(Call), End = std::move(End)]() mutable {
     auto Found = Services_.find(Call.Service_);
--- a/src/daemon/traffic_thread_base.h
+++ b/src/daemon/traffic_thread_base.h
@@ -28,6 +28,10 @@
   void start();
   void stop();
 
+  /// Makes each request that is submitted from now on end by \p End. Safe from
+  /// any thread.
+  void startDrain(Time End);
+
   /// Routes a request. Safe from any thread.
   void submit(CallSpec Call, CallCallback End);
 
--- a/test/process/shift_test.cpp
+++ b/test/process/shift_test.cpp
@@ -131,6 +131,23 @@
   CHECK(Stuck().Code_ == ResultCode::ServerAnswerLost);
 }
 
+// Guards against requests that a stopping VM accepted late, passed on and cut
+// without a response.
+TEST_CASE(
+    "report: a request that arrives during a planned stop gets a response "
+    "before its end") {
+  Cluster World({"r-a", "r-a"}, 1, makeProfile());
+  ServerFaults Faults;
+  Faults.LoseResponses_ = 1;
+  World.server("r-a", 0).setFaults(Faults);
+  std::string Key = World.makeKey(0);
+  World.vm(0).Process_->signal(SIGTERM);
+  auto Late = World.startCall(0, "POST", Key, seconds(20));
+  CHECK(World.vm(0).Process_->wait() == 0);
+  CHECK(World.getRuns(Key) == 1);
+  CHECK(Late().getHeader("x-outcome") == "unknown");
+}
+
 TEST_CASE(
     "an entry VM is killed under load: its zone's servers stay in use and "
     "no key runs twice") {
