Feature: [Test] Endless bytes, and responses that end in their head

Two reports of other operators: a VM kept all bytes of a faulty server and ran out of memory, and a head without its end was passed on as a whole response.

Neither can happen here with the faults tried. With real processes a client never got a success, nor a closed connection, for such a response.

--- /dev/null
+++ b/test/process/faulty_server_test.cpp
@@ -0,0 +1,175 @@
+/// \file faulty_server_test.cpp Servers that send bytes that are no response.
+#include "test/support/raw_server_base.h"
+#include "test/support/steering_fixture_base.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace cranberry;
+using namespace cranberry::standin;
+using namespace cranberry::test;
+using nlohmann::json;
+
+namespace {
+
+/// Memory of the smallest VM of the platform.
+constexpr size_t MaxMemoryKiB = 260 * 1024;
+
+/// One entry VM, and the services "one" and "two".
+class Fixture : public SteeringFixture {
+public:
+  Fixture() : SteeringFixture({{"north-a"}, {"one", "two"}, 2, 20}) {
+    Fleet_.configure(
+        json::array({makeRoute("r-read", "/read/", "one", true, seconds(3)),
+                     makeRoute("r-two", "/two/", "two", true, seconds(3)),
+                     makeRoute("r-once", "/once/", "two", false, seconds(3))}));
+  }
+
+  /// Makes \p Server serve the service "two".
+  void replaceSecondService(const RawServer &Server) {
+    for (FleetServer &Each : Fleet_.servers()) {
+      if (Each.Service_ != "two")
+        continue;
+      constexpr unsigned Sequence = 100;
+      json Entry =
+          Each.Server_->getEntry(Each.Service_, Each.Zone_, false, Sequence);
+      Entry["address"] = Server.getAddress();
+      Fleet_.store().put("servers", Each.Server_->getId(), Entry);
+    }
+  }
+
+  std::string getAddress() { return Fleet_.vm(0).FrontLink_->getAddress(); }
+};
+
+std::string makeHead(const std::string &AttemptId) {
+  return "HTTP/1.1 200 OK\r\nX-Cranberrypost-Attempt-Id: " + AttemptId +
+         "\r\nX-Cranberrypost-Server-Seal: i-two\r\n";
+}
+
+/// Sends requests from several clients until it is destroyed.
+class Load {
+public:
+  Load(const std::string &Address, const std::string &Target, int Clients) {
+    Threads_.reserve(static_cast<size_t>(Clients));
+    for (int I = 0; I < Clients; ++I)
+      Threads_.emplace_back([this, Address, Target, I] {
+        RouteClient Client(Address);
+        for (int Number = 0; !IsStopping_; ++Number) {
+          std::string Id =
+              Target + std::to_string(I) + "-" + std::to_string(Number);
+          ClientReply Reply = Client.call(
+              {"GET", Target, Id, std::to_string(I), seconds(3)}, seconds(10));
+          ++(Reply.Status_ == 200 ? Served_ : Failed_);
+        }
+      });
+  }
+
+  ~Load() {
+    IsStopping_ = true;
+    for (std::thread &Each : Threads_)
+      Each.join();
+  }
+
+  std::atomic<unsigned> Served_ = 0; ///< Requests that succeeded.
+  std::atomic<unsigned> Failed_ = 0; ///< Requests that didn't.
+
+private:
+  std::atomic<bool> IsStopping_ = false; ///< Ends the clients.
+  std::vector<std::thread> Threads_;     ///< One for each client.
+};
+
+} // namespace
+
+// Guards against a VM that runs out of memory because it keeps all bytes of a
+// faulty server, which ends the requests of other clients.
+TEST_CASE("report: servers that send bytes without an end cost other clients "
+          "nothing") {
+  struct Case {
+    const char *Name_;     ///< Where the bytes go on.
+    std::string Begin_;    ///< Follows the fields that name the attempt.
+    std::string Repeated_; ///< Sent without an end.
+    bool HasHead_ = true;  ///< Whether the response begins with such fields.
+  };
+  const Case Cases[] = {
+      {"no response", "", "x", false},
+      {"empty lines", "", "\r\n", false},
+      {"status line", "HTTP/1.1 200 ", "x", false},
+      {"field", "X: ", "x"},
+      {"fields", "", "X: y\r\n"},
+      {"body without a length", "\r\n", "x"},
+      {"body of a huge length", "Content-Length: 99999999999\r\n\r\n", "x"},
+      {"chunks", "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+      {"chunk size", "Transfer-Encoding: chunked\r\n\r\n", "0"},
+      {"trailer", "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+      {"interim responses", "", "HTTP/1.1 103 Early\r\n\r\n", false},
+  };
+  Fixture F;
+  std::atomic<size_t> Current = 0;
+  RawServer Faulty([&](const std::string &AttemptId) {
+    const Case &Each = Cases[Current];
+    std::string Head = Each.HasHead_ ? makeHead(AttemptId) : "";
+    return RawReply{Head + Each.Begin_, Each.Repeated_};
+  });
+  F.replaceSecondService(Faulty);
+  F.startAll();
+  Load Sound(F.getAddress(), "/read/x", 4);
+  REQUIRE(F.waitUntil([&] { return Sound.Served_ > 20; }));
+  for (; Current < std::size(Cases); ++Current) {
+    CAPTURE(Cases[Current].Name_);
+    unsigned Before = Sound.Served_;
+    unsigned Requests = Faulty.getRequests();
+    Load Affected(F.getAddress(), "/two/x", 6);
+    Load Once(F.getAddress(), "/once/x", 6);
+    RouteClient("").pause(milliseconds(1200));
+    CHECK(Faulty.getRequests() > Requests);
+    CHECK(Affected.Served_ + Once.Served_ == 0);
+    CHECK(Sound.Served_ > Before);
+    CHECK(Sound.Failed_ == 0);
+    REQUIRE(F.Fleet_.vm(0).Process_->isRunning());
+    CHECK(F.Fleet_.vm(0).Process_->getPeakMemory() < MaxMemoryKiB);
+  }
+}
+
+// Guards against a head without its end that is passed on as a whole response
+// with an empty or short body.
+TEST_CASE("report: a response that ends in its head never reaches a client as "
+          "a success") {
+  Fixture F;
+  const std::string Endings[] = {
+      "Content-Length: 16\r\n\r\n",
+      "Transfer-Encoding: chunked\r\n\r\n",
+      "\r\n",
+  };
+  std::atomic<size_t> Ending = 0;
+  std::atomic<size_t> CutBytes = 0;
+  RawServer Faulty([&](const std::string &AttemptId) {
+    std::string Head = makeHead(AttemptId) + Endings[Ending];
+    return RawReply{Head.substr(0, Head.size() - CutBytes), ""};
+  });
+  F.replaceSecondService(Faulty);
+  F.startAll();
+  RouteClient Client(F.getAddress());
+  unsigned Number = 0;
+  auto GetStatus = [&](const std::string &Target) {
+    std::string Id = "cut" + std::to_string(++Number);
+    return Client.call({"GET", Target, Id, "7", seconds(1)}, seconds(5))
+        .Status_;
+  };
+  REQUIRE(F.waitUntil([&] { return GetStatus("/read/x") == 200; }));
+  for (; Ending < std::size(Endings); ++Ending)
+    for (size_t Cut : {1, 3, 30})
+      for (const char *Target : {"/two/x", "/once/x"}) {
+        CutBytes = Cut;
+        CAPTURE(Ending.load(), Cut, Target);
+        // Servers that failed get no requests for a while.
+        unsigned Before = Faulty.getRequests();
+        CHECK(F.waitUntil([&] {
+          unsigned Status = GetStatus(Target);
+          CHECK(Status != 0);
+          CHECK(Status != 200);
+          return Faulty.getRequests() > Before;
+        }));
+      }
+}
--- a/test/unit/steering_connection_test.cpp
+++ b/test/unit/steering_connection_test.cpp
@@ -193,6 +193,48 @@
   }
 }
 
+// Guards against a head without its end that counts as a whole response.
+TEST_CASE("report: a response that ends in its head isn't complete, wherever "
+          "it is cut") {
+  const std::string Fields = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
+  const std::string Interim = "HTTP/1.1 103 Early\r\nX: y\r\n\r\n";
+  for (const std::string &Head :
+       {Fields + "Content-Length: 0\r\n\r\n",
+        Fields + "Content-Length: 12\r\n\r\n",
+        Fields + "Transfer-Encoding: chunked\r\n\r\n",
+        Fields + "Connection: close\r\n\r\n", Fields + "\r\n",
+        Interim + Fields + "\r\n",
+        std::string("HTTP/1.0 200 OK\r\nX-Id: 1\r\n\r\n"),
+        std::string("HTTP/1.1 204 None\r\nX-Id: 1\r\n\r\n")})
+    for (size_t Size = 0; Size < Head.size(); ++Size) {
+      CAPTURE(Head, Size);
+      boost::asio::io_context Loop;
+      ScriptedServer Server(Loop, {{Head.substr(0, Size), true, false}});
+      ConnectionPool Pool(Loop);
+      AttemptResult End =
+          sendAttempt(Loop, Pool, Server.getEndpoint(), makeSpec("1"));
+      CHECK(End.Status_ != AttemptStatus::Answered);
+    }
+}
+
+TEST_CASE("report: a response that ends in its body isn't complete if its "
+          "length is known") {
+  const std::string Fields = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
+  for (const std::string &Response :
+       {Fields + "Content-Length: 5\r\n\r\nwhole",
+        Fields + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"})
+    for (size_t Size = Response.find("\r\n\r\n") + 4; Size < Response.size();
+         ++Size) {
+      CAPTURE(Response, Size);
+      boost::asio::io_context Loop;
+      ScriptedServer Server(Loop, {{Response.substr(0, Size), true, false}});
+      ConnectionPool Pool(Loop);
+      AttemptResult End =
+          sendAttempt(Loop, Pool, Server.getEndpoint(), makeSpec("1"));
+      CHECK(End.Status_ == AttemptStatus::Truncated);
+    }
+}
+
 TEST_CASE(
     "server connection: a connection that the server closed is not reused") {
   boost::asio::io_context Loop;
