--- a/test/process/faulty_server_test.cpp
+++ b/test/process/faulty_server_test.cpp
@@ -132,6 +132,27 @@
   }
 }
 
+// The same for the other sources of responses that a VM keeps.
+TEST_CASE("report: a store and other VMs that send bytes without an end cost "
+          "clients nothing") {
+  SteeringFixture F({{"north-a", "north-a"}, {"one"}});
+  F.startAll();
+  Load Sound(F.Fleet_.vm(0).FrontLink_->getAddress(), "/read/x", 4);
+  REQUIRE(F.waitUntil([&] { return Sound.Served_ > 20; }));
+  for (size_t Vm : {0, 1}) {
+    F.Fleet_.vm(Vm).StoreLink_->setMode(LinkMode::Flood);
+    F.Fleet_.vm(Vm).PeerLink_->setMode(LinkMode::Flood);
+  }
+  unsigned Before = Sound.Served_;
+  RouteClient("").pause(seconds(6));
+  CHECK(Sound.Served_ > Before);
+  CHECK(Sound.Failed_ == 0);
+  for (size_t Vm : {0, 1}) {
+    REQUIRE(F.Fleet_.vm(Vm).Process_->isRunning());
+    CHECK(F.Fleet_.vm(Vm).Process_->getPeakMemory() < MaxMemoryKiB);
+  }
+}
+
 // Guards against a head without its end that is passed on as a whole response
 // with an empty or short body.
 TEST_CASE("report: a response that ends in its head never reaches a client as "
