Fix: [Net] All connections of an event loop share one limit on received bytes

Cause: the limit of 64 MB for all responses in transit counted for each pool of connections, of which a process has five.

Change: ReceiveBudget is a service of the event loop.

--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -45,7 +45,7 @@
   bool IsNew = !Connection;
   if (IsNew) {
     ++OpenedCount_;
-    Connection = std::make_shared<ServerConnection>(IoContext_, Budget_);
+    Connection = std::make_shared<ServerConnection>(IoContext_);
   }
   std::weak_ptr<ServerConnection> Weak = Connection;
   AttemptCallback ReturnToPool =
--- a/src/net/connection_pool_base.h
+++ b/src/net/connection_pool_base.h
@@ -59,8 +59,6 @@
                                         Duration MaxIdle);
 
   boost::asio::io_context &IoContext_; ///< Runs the sockets' handlers.
-  std::shared_ptr<ReceiveBudget> Budget_ =
-      std::make_shared<ReceiveBudget>(); ///< Limits buffered responses.
   absl::flat_hash_map<std::string, std::vector<ServerConnectionPtr>>
       IdleConnections_;      ///< By key, most recently used last.
   uint64_t OpenedCount_ = 0; ///< See getOpenedCount().
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -63,10 +63,9 @@
 
 } // namespace
 
-ServerConnection::ServerConnection(boost::asio::io_context &IoContext,
-                                   std::shared_ptr<ReceiveBudget> Budget)
-    : Socket_(IoContext), ConnectTimer_(IoContext), Budget_(std::move(Budget)) {
-}
+ServerConnection::ServerConnection(boost::asio::io_context &IoContext)
+    : Socket_(IoContext), ConnectTimer_(IoContext),
+      Budget_(boost::asio::use_service<ReceiveBudget>(IoContext)) {}
 
 void ServerConnection::connectAndSend(const tcp::endpoint &Server,
                                       AttemptSpec Spec,
@@ -203,8 +202,8 @@
     completeAttempt(AttemptStatus::Garbled);
     return false;
   }
-  Budget_->update(this, Parser_->get().body().size());
-  while (ServerConnection *Largest = Budget_->findExcess())
+  Budget_.update(this, Parser_->get().body().size());
+  while (ServerConnection *Largest = Budget_.findExcess())
     Largest->completeAttempt(AttemptStatus::Garbled);
   return !IsClosed_;
 }
@@ -214,7 +213,7 @@
   bool KeepsAlive = Parser_->keep_alive();
   ResponseMessage Response = Parser_->release();
   Parser_.reset();
-  Budget_->update(this, 0);
+  Budget_.update(this, 0);
   bool IsInterim = Response.result_int() < FirstFinal;
   ResponseMatch Match = IsInterim
                             ? ResponseMatch::OtherRequest
@@ -267,7 +266,7 @@
   IsClosed_ = true;
   IsReusable_ = false;
   OnComplete_ = nullptr;
-  Budget_->update(this, 0);
+  Budget_.update(this, 0);
   ConnectTimer_.cancel();
   error_code Ignored; // No recovery is possible if close() fails.
   Socket_.close(Ignored);
--- a/src/net/server_connection_base.h
+++ b/src/net/server_connection_base.h
@@ -21,10 +21,8 @@
 /// request.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
-  /// \param Budget Shared by all connections of a pool.
-  ServerConnection(boost::asio::io_context &IoContext,
-                   std::shared_ptr<ReceiveBudget> Budget);
-  ~ServerConnection() { Budget_->update(this, 0); }
+  explicit ServerConnection(boost::asio::io_context &IoContext);
+  ~ServerConnection() { Budget_.update(this, 0); }
   ServerConnection(const ServerConnection &) = delete;
   ServerConnection &operator=(const ServerConnection &) = delete;
 
@@ -63,7 +61,7 @@
   boost::asio::steady_timer ConnectTimer_; ///< Connect timeout.
   boost::beast::flat_buffer ReadBuffer_;   ///< Received, unparsed bytes.
   std::optional<Parser> Parser_;           ///< Response being read.
-  std::shared_ptr<ReceiveBudget> Budget_;  ///< Limits buffered responses.
+  ReceiveBudget &Budget_;                  ///< Limits buffered responses.
   unsigned SkippedResponses_ = 0;       ///< Responses to other requests so far.
   AttemptSpec Spec_;                    ///< Current request.
   AttemptCallback OnComplete_;          ///< Its callback; empty if idle.
--- a/test/process/faulty_server_test.cpp
+++ b/test/process/faulty_server_test.cpp
@@ -153,6 +153,27 @@
   }
 }
 
+// Guards against limits that each source of responses keeps but that together
+// exceed the memory of a VM.
+TEST_CASE("report: a store, other VMs and servers that all send bytes without "
+          "an end leave a VM running") {
+  SteeringFixture F({{"north-a", "north-a", "south-a"}, {"one"}});
+  F.startAll();
+  Load Calls(F.Fleet_.vm(0).FrontLink_->getAddress(), "/read/x", 8);
+  REQUIRE(F.waitUntil([&] { return Calls.Served_ > 20; }));
+  for (size_t Vm = 0; Vm < F.Fleet_.getVmCount(); ++Vm) {
+    F.Fleet_.vm(Vm).StoreLink_->setMode(LinkMode::Flood);
+    F.Fleet_.vm(Vm).PeerLink_->setMode(LinkMode::Flood);
+  }
+  for (FleetServer &Each : F.Fleet_.servers())
+    Each.Link_->setMode(LinkMode::Flood);
+  RouteClient("").pause(seconds(8));
+  for (size_t Vm = 0; Vm < F.Fleet_.getVmCount(); ++Vm) {
+    REQUIRE(F.Fleet_.vm(Vm).Process_->isRunning());
+    CHECK(F.Fleet_.vm(Vm).Process_->getPeakMemory() < MaxMemoryKiB);
+  }
+}
+
 // Guards against a head without its end that is passed on as a whole response
 // with an empty or short body.
 TEST_CASE("report: a response that ends in its head never reaches a client as "
