--- a/src/process/store_reader.cpp
+++ b/src/process/store_reader.cpp
@@ -42,8 +42,9 @@
 /// Selects a reader of another zone. Those that probably read the store anyway
 /// come first: the first of each zone, then the second ones.
 /// \return The reader, or null if all have failed.
-const Member *selectForeignReader(const MemberList &Members, const Member &Self,
-                                  const FailedReaders &Failed) {
+const Member *selectReaderOfOtherZone(const MemberList &Members,
+                                      const Member &Self,
+                                      const FailedReaders &Failed) {
   std::set<std::string> Zones;
   for (const Member &Vm : Members)
     if (Vm.Zone_ != Self.Zone_)
@@ -70,11 +71,12 @@
   return nullptr;
 }
 
-/// Selects a source for a VM whose zone's readers all have failed.
-/// \return The source, or std::nullopt if enough others have failed.
-std::optional<StoreSourceChoice>
-selectBeyondReaders(const MemberList &Members, const Member &Self,
-                    bool IsStoreLost, const FailedReaders &Failed) {
+/// Selects a substitute for the readers of a zone, all of which have failed.
+/// \return The source, or std::nullopt if enough others have failed as well.
+std::optional<StoreSourceChoice> selectSubstitute(const MemberList &Members,
+                                                  const Member &Self,
+                                                  bool IsStoreLost,
+                                                  const FailedReaders &Failed) {
   std::vector<const Member *> InOrder =
       selectFirstVms(Members, Self.Zone_, MaxReadersPerZone + MaxOthersAsked);
   size_t OthersFailed = Failed.Silent_.size() + Failed.Behind_.size();
@@ -82,7 +84,7 @@
     OthersFailed -= hasFailed(*InOrder[I], Failed) ? 1 : 0;
   if (OthersFailed >= MaxOthersAsked)
     return std::nullopt;
-  if (const Member *Reader = selectForeignReader(Members, Self, Failed))
+  if (const Member *Reader = selectReaderOfOtherZone(Members, Self, Failed))
     return StoreSourceChoice{StoreSource::Vm, Reader, true};
   // With few other zones, the next VMs of this zone read the store.
   for (size_t I = MaxReadersPerZone; I < InOrder.size(); ++I) {
@@ -115,7 +117,7 @@
   if (!IsAnyBehind && !IsStoreLost)
     return {};
   if (std::optional<StoreSourceChoice> Other =
-          selectBeyondReaders(Members, Self, IsStoreLost, Failed))
+          selectSubstitute(Members, Self, IsStoreLost, Failed))
     return *Other;
   return {IsReader || !IsAnyBehind ? StoreSource::Store : StoreSource::None,
           nullptr};
