--- a/test/process/refused_reader_test.cpp
+++ b/test/process/refused_reader_test.cpp
@@ -1,6 +1,6 @@
 /// \file refused_reader_test.cpp A store that refuses the readers of a zone.
-#include "process/store_reader_func.h"
 #include "test/support/steering_fixture_base.h"
+#include "test/support/store_readers_func.h"
 
 #include <catch2/catch.hpp>
 
@@ -39,19 +39,8 @@
       Vm.PeerAddress_ = Fleet_.vm(I).PeerLink_->getAddress();
       Vms.push_back(Vm);
     }
-    Member Outsider;
-    Outsider.Vm_ = "outsider";
-    Outsider.Zone_ = Zone;
-    FailedReaders Failed;
-    std::set<size_t> Result;
-    while (true) {
-      StoreSourceChoice Choice =
-          selectStoreSource(Vms, Outsider, false, Failed);
-      if (Choice.Source_ != StoreSource::Vm)
-        return Result;
-      Result.insert(static_cast<size_t>(Choice.Vm_ - Vms.data()));
-      Failed.Silent_.insert(Choice.Vm_->PeerAddress_);
-    }
+    std::vector<size_t> Readers = getStoreReaders(Vms, Zone);
+    return {Readers.begin(), Readers.end()};
   }
 
   void setStoreLinks(const std::set<size_t> &Vms, LinkMode Mode) {
--- a/test/unit/store_source_test.cpp
+++ b/test/unit/store_source_test.cpp
@@ -4,6 +4,7 @@
 #include "standin/object_store_base.h"
 #include "steering/store_view_base.h"
 #include "steering/vm_discovery_base.h"
+#include "test/support/store_readers_func.h"
 
 #include <catch2/catch.hpp>
 
@@ -90,20 +91,7 @@
   /// \return The VMs of a zone that read the store if it serves them, in their
   /// order.
   std::vector<size_t> getReaders(const std::string &Zone) const {
-    FailedReaders Failed;
-    std::vector<size_t> Result;
-    // Another VM of the zone that has no readers left reads the store itself.
-    Member Outsider;
-    Outsider.Vm_ = "outsider";
-    Outsider.Zone_ = Zone;
-    while (true) {
-      StoreSourceChoice Choice =
-          selectStoreSource(Vms_, Outsider, false, Failed);
-      if (Choice.Source_ != StoreSource::Vm)
-        return Result;
-      Result.push_back(static_cast<size_t>(Choice.Vm_ - Vms_.data()));
-      Failed.Silent_.insert(Choice.Vm_->PeerAddress_);
-    }
+    return test::getStoreReaders(Vms_, Zone);
   }
 
 private:
