Feature: [Workspace] Requests are identified by their API key, and homes and ranks bind

Cause: nothing in the code knew a key or a workspace. The client's key went on to the servers, withdrawn and unknown keys were served, homes of workspaces didn't bind.

Change: the configuration's workspaces are decoded into keyed digests of their keys (libsodium, a secret per process); an invalid one is left out with its keys, and a key that two hold identifies neither. A request's credentials are read and removed, 401 without a known key, 503 from a VM that may not know of a newer configuration. Servers get the workspace's name, whatever the client sent. Homes of route and workspace both bind; if no region is in both, the request is refused (339). A workspace's priority goes before the route's. Requests that wait or would be retried are refused when their key is withdrawn.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
   libabsl-dev libgrpc++-dev libprotobuf-dev protobuf-compiler \
   protobuf-compiler-grpc prometheus-cpp-dev \
   libboost-dev libboost-program-options-dev libgoogle-glog-dev \
-  catch2 nlohmann-json3-dev
+  catch2 nlohmann-json3-dev libsodium-dev
 
 .PHONY: install build demo demo-himal check format lint proto bench clean
 
--- a/src/core/result_type.h
+++ b/src/core/result_type.h
@@ -74,7 +74,13 @@
   RouteUnknown = 333,        ///< No route matches the host and path.
   ClientGone = 334,          ///< The client disconnected before the response.
   StoppedAfterStart = 335,   ///< This entry VM stopped during execution.
-  PlatformUnreachable = 401, ///< The platform did not receive the call.
+  WorkspaceKeyMissing = 336, ///< The request needs an API key and has none.
+  WorkspaceKeyUnknown = 337, ///< No workspace holds the API key.
+  WorkspaceKeyUnverified =
+      338,             ///< The API key is unknown here, but may be a new one.
+  HomesDisjoint = 339, ///< No region is a home of both route and workspace.
+  QuotaExceeded = 340, ///< The workspace's quota is used up for the moment.
+  PlatformUnreachable = 401,    ///< The platform did not receive the call.
   PlatformOutcomeUnknown = 402, ///< The write may have been applied.
   PlatformRefused = 403,        ///< The platform rejected the call.
   NotReady = 404,               ///< No configuration has been loaded yet.
--- a/src/platform/decode_func.h
+++ b/src/platform/decode_func.h
@@ -8,6 +8,7 @@
 #include "request/balancer_type.h"
 #include "version/routing_type.h"
 #include "version/server_record_type.h"
+#include "workspace/client_key_type.h"
 
 #include <optional>
 #include <string>
@@ -53,6 +54,13 @@
 /// Reads the header fields of a server's response.
 ServerResponseInfo decodeServerResponse(const ResponseMessage &Response);
 
+/// Reads the API key of a client's request and removes all fields with keys.
+ClientKey takeClientKey(RequestMessage &Request);
+/// Names the workspace of a request for the server, in place of any name that
+/// the client sent.
+/// \param Name Name of the workspace, or empty for none.
+void setWorkspaceName(RequestMessage &Request, const std::string &Name);
+
 /// Sets the header fields that this system adds to a request for a server.
 /// \param Left Time until the client's deadline.
 /// \param Instance Id of the server instance that the request is meant for.
@@ -77,6 +85,10 @@
 /// \param[out] Why Invalid field and reason, if there is no result.
 std::optional<RoutingConfig> decodeRouting(const StoreObject &Object,
                                            Reason &Why);
+/// Decodes the workspaces of a configuration. An invalid one is left out, with
+/// its keys, and recorded in RoutingConfig::RefusedWorkspaces_.
+/// \return Whether \p Body has a list of workspaces or none at all.
+bool decodeWorkspaces(const nlohmann::json &Body, RoutingConfig &Result);
 /// Decodes the entry of a backend server.
 /// \param[out] Why Invalid field and reason, if there is no result.
 std::optional<ServerRecord> decodeServer(const StoreObject &Object,
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -23,6 +23,8 @@
 inline constexpr const char *Era = "store-era";
 inline constexpr const char *NotExecuted = "X-Cranberrypost-Not-Executed";
 inline constexpr const char *Instance = "X-Cranberrypost-Instance-Id";
+/// Name of the workspace that sent a request; set by this system only.
+inline constexpr const char *WorkspaceName = "X-Cranberrypost-Tenant-Name";
 inline constexpr const char *ColdRemaining =
     "X-Cranberrypost-Cold-Milliseconds";
 } // namespace header
--- a/src/steering/client_flow_type.h
+++ b/src/steering/client_flow_type.h
@@ -8,6 +8,7 @@
 #include "request/service_balancer_base.h"
 #include "version/routing_type.h"
 #include "version/server_record_type.h"
+#include "workspace/client_key_type.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -45,9 +46,12 @@
   IngressExchangePtr Exchange_;        ///< Connection for the response.
   RoutingConfigPtr Config_;            ///< Configuration in force on arrival.
   const RouteConfig *Route_ = nullptr; ///< Route in that configuration.
-  ServicePool *Pool_ = nullptr;        ///< Pool of its service.
-  std::string Id_;                     ///< Request id set by the client.
-  WaitingRequest Request_;             ///< Balancer's view of the request.
+  /// Workspace in that configuration; null for an anonymous request.
+  const WorkspaceConfig *Workspace_ = nullptr;
+  ClientKey Key_;                         ///< Credentials of the request.
+  ServicePool *Pool_ = nullptr;           ///< Pool of its service.
+  std::string Id_;                        ///< Request id set by the client.
+  WaitingRequest Request_;                ///< Balancer's view of the request.
   std::vector<InFlightAttempt> Attempts_; ///< Attempts in flight.
   unsigned ServerCount_ = 0;              ///< Number of servers it was sent to.
   Duration QueueTime_{0};        ///< From arrival to the first attempt.
@@ -59,6 +63,11 @@
       FailureResponse_; ///< Failure response of a server.
   std::unique_ptr<boost::asio::steady_timer>
       DeadlineTimer_; ///< Deadline timer.
+
+  /// \return Name of the workspace, or an empty string.
+  std::string getWorkspaceName() const {
+    return Workspace_ ? Workspace_->Name_ : std::string();
+  }
 };
 
 } // namespace cranberry
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -51,7 +51,7 @@
                              Metrics &Counters)
     : Loop_(Loop), Settings_(Config), Log_(Log), Metrics_(Counters),
       Locator_(Config, getNow()), Connections_(Loop),
-      ShiftGate_(ShiftLimitShare * Config.MaxRegionShift_) {}
+      ShiftGate_(ShiftLimitShare * Config.MaxRegionShift_), Workspaces_(Log) {}
 
 ServicePool &RequestRouter::getPool(const std::string &Service) {
   std::unique_ptr<ServicePool> &Pool = Pools_[Service];
@@ -66,11 +66,24 @@
 void RequestRouter::setRouting(RoutingConfigPtr Config) {
   Config_ = std::move(Config);
   Routes_ = RouteTable(*Config_);
+  Workspaces_.setRouting(Config_);
   std::erase_if(Pickers_, [this](const auto &Entry) {
     return std::none_of(
         Config_->Routes_.begin(), Config_->Routes_.end(),
         [&](const RouteConfig &Route) { return Route.Name_ == Entry.first; });
   });
+  refuseWithdrawnKeys();
+}
+
+void RequestRouter::refuseWithdrawnKeys() {
+  std::vector<FlowIndex> Withdrawn;
+  for (const auto &[Index, Flow] : Flows_)
+    if (Flow->Attempts_.empty() &&
+        !Workspaces_.isStillAdmitted(Flow->Key_, Flow->Workspace_))
+      Withdrawn.push_back(Flow->Index_);
+  for (FlowIndex Index : Withdrawn)
+    sendFailure(*Flows_.at(Index.get()), ResultCode::WorkspaceKeyUnknown,
+                ResultCode::ServerAnswerLost, Duration(0));
 }
 
 void RequestRouter::setServers(const ServerRegistry &Registry,
@@ -97,61 +110,9 @@
   }
 }
 
-std::vector<RateDemand> RequestRouter::takeRateDemands() {
-  std::vector<RateDemand> Result;
-  for (auto &[Name, Pool] : Pools_)
-    for (RateDemand &Each : Pool->Balancer_.takeRateDemands(getNow()))
-      Result.push_back(std::move(Each));
-  return Result;
-}
-
-void RequestRouter::setRateShare(const std::string &Server,
-                                 const NamedRateLimit &Named, double Share) {
-  for (auto &[Name, Pool] : Pools_)
-    if (Pool->Servers_.contains(Server)) {
-      Pool->Balancer_.setRateShare(Server, Named, Share, getNow());
-      scheduleStep(*Pool);
-    }
-}
-
-void RequestRouter::logRateUse() {
-  Time Now = getNow();
-  for (auto &[Name, Pool] : Pools_)
-    for (const RateUse &Use : Pool->Balancer_.getRateUse(Now))
-      Log_.write(Now, "rate-use",
-                 {{"server", Use.Server_},
-                  {"service", Name},
-                  {"limit", Use.Limit_},
-                  {"share", Use.Share_},
-                  {"starts", Use.Starts_},
-                  {"windowMs", RecentStarts::Window}});
-}
-
-void RequestRouter::updateGauges() {
-  Time Now = getNow();
-  for (auto &[Name, Pool] : Pools_) {
-    Metrics_.setGauge("cranberry_waiting_requests", Name,
-                      static_cast<double>(Pool->Balancer_.getWaiting()));
-    Metrics_.setGauge("cranberry_requests_in_flight", Name,
-                      Pool->Balancer_.getInFlight());
-    Metrics_.setGauge("cranberry_usable_servers", Name,
-                      static_cast<double>(Pool->Servers_.size()));
-    Metrics_.setGauge("cranberry_cold_servers", Name,
-                      Pool->Balancer_.getColdServers(Now));
-    Metrics_.setGauge(
-        "cranberry_limited_servers", Name,
-        static_cast<double>(Pool->Balancer_.getRateUse(Now).size()));
-    Metrics_.setGauge("cranberry_repeat_budget_left", Name,
-                      Pool->RetryBudget_.getRemaining(Now));
-  }
-  Metrics_.setGauge("cranberry_open_requests", "all",
-                    static_cast<double>(Flows_.size()));
-  Metrics_.setGauge("cranberry_server_connections_opened", "all",
-                    static_cast<double>(Connections_.getOpenedCount()));
-}
-
 void RequestRouter::reject(const IngressExchangePtr &Exchange,
-                           const std::string &Id, ResultCode Code) {
+                           const std::string &Id, ResultCode Code,
+                           const ClientKey &Key) {
   const RequestMessage &Message = Exchange->getMessage();
   Metrics_.countRequest("", Code);
   Log_.write(Exchange->getArrivalTime(), "reject",
@@ -159,6 +120,7 @@
               {"code", static_cast<unsigned>(Code)},
               {"result", getName(Code)},
               {"host", toString(Message[http::field::host])},
+              {"key", Key.Fingerprint_},
               {"version", Config_ ? Config_->Version_ : 0}});
   auto Status = static_cast<unsigned>(getHttpStatus(Code));
   ResponseMessage Response = makeResponse(Status, "");
@@ -176,15 +138,15 @@
   return Route.TrafficSplit_[Pickers_[Route.Name_].pick(Weights)].Service_;
 }
 
-std::unique_ptr<ClientFlow>
-RequestRouter::makeFlow(const IngressExchangePtr &Exchange,
-                        const RouteConfig &Route,
-                        const platform::ClientRequestInfo &Info) {
+std::unique_ptr<ClientFlow> RequestRouter::makeFlow(
+    const IngressExchangePtr &Exchange, const RouteConfig &Route,
+    const WorkspaceConfig *Workspace, const platform::ClientRequestInfo &Info) {
   auto Flow = std::make_unique<ClientFlow>();
   Flow->Index_ = FlowIndex(NextFlow_++);
   Flow->Exchange_ = Exchange;
   Flow->Config_ = Config_;
   Flow->Route_ = &Route;
+  Flow->Workspace_ = Workspace;
   Flow->Pool_ = &getPool(pickService(Route));
   Flow->Id_ = Info.AttemptId_;
   Time Now = Exchange->getArrivalTime();
@@ -196,8 +158,8 @@
   Request.ObjectiveAt_ = Now + Route.LatencyObjective_;
   Request.Deadline_ =
       Now + std::min(Route.Timeout_, Info.Timeout_.value_or(Route.Timeout_));
-  Request.Weight_ = getPriorityWeight(Route.Priority_);
-  Request.HomeRegions_ = Route.HomeRegions_;
+  Request.Weight_ = getPriorityWeight(getPriority(Route, Workspace));
+  Request.HomeRegions_ = getAllowedRegions(Route, Workspace).Regions_;
   return Flow;
 }
 
@@ -218,13 +180,28 @@
     reject(Exchange, Info.AttemptId_, ResultCode::RouteUnknown);
     return;
   }
+  const RouteConfig &Route = Config_->Routes_[*Index];
+  ClientKey Key;
+  if (Workspaces_.isActive())
+    Key = platform::takeClientKey(Message);
+  AccessDecision Access = Workspaces_.check(Route, Key);
+  if (Access.Code_ == ResultCode::Ok &&
+      getAllowedRegions(Route, Access.Workspace_).IsEmpty_)
+    Access.Code_ = ResultCode::HomesDisjoint;
+  if (Access.Code_ != ResultCode::Ok) {
+    reject(Exchange, Info.AttemptId_, Access.Code_, Key);
+    return;
+  }
   std::unique_ptr<ClientFlow> Flow =
-      makeFlow(Exchange, Config_->Routes_[*Index], Info);
+      makeFlow(Exchange, Route, Access.Workspace_, Info);
+  Flow->Key_ = std::move(Key);
   if (Flow->Request_.Deadline_ > ShutdownDeadline_) {
     reject(Exchange, Info.AttemptId_, ResultCode::Stopping);
     return;
   }
   eraseHopByHopFields(Message);
+  platform::setWorkspaceName(
+      Message, Access.Workspace_ ? Access.Workspace_->Name_ : std::string());
   startDeadlineTimer(*Flow);
   Exchange->setDisconnectHandler(
       [this, At = Flow->Index_] { onClientGone(At); });
@@ -361,6 +338,7 @@
               {"queuedMs", Flow.QueueTime_},
               {"takenMs", Taken},
               {"objectiveMs", Flow.Route_->LatencyObjective_},
+              {"workspace", Flow.getWorkspaceName()},
               {"version", Flow.Config_->Version_}});
   if (Flow.IsQueued_)
     Pool.Balancer_.cancelWaiting(Flow.Index_);
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -10,6 +10,7 @@
 #include "steering/client_flow_type.h"
 #include "steering/server_locator_base.h"
 #include "steering/vm_load_monitor_base.h"
+#include "steering/workspace_admission_base.h"
 #include "version/route_table_base.h"
 
 #include <functional>
@@ -60,6 +61,9 @@
   /// this process has restarted.
   void liftShiftLimit() { ShiftGate_.liftFromFirstRequest(); }
 
+  /// \return Decisions on workspaces.
+  WorkspaceAdmission &getWorkspaces() { return Workspaces_; }
+
   /// \return Counters of the traffic since the start.
   TrafficCounters getTraffic() const { return {NextFlow_ - 1, SentBytes_}; }
 
@@ -107,10 +111,12 @@
 
   ServicePool &getPool(const std::string &Service);
   void reject(const IngressExchangePtr &Exchange, const std::string &Id,
-              ResultCode Code);
+              ResultCode Code, const ClientKey &Key = {});
+  void refuseWithdrawnKeys();
   std::string pickService(const RouteConfig &Route);
   std::unique_ptr<ClientFlow> makeFlow(const IngressExchangePtr &Exchange,
                                        const RouteConfig &Route,
+                                       const WorkspaceConfig *Workspace,
                                        const platform::ClientRequestInfo &Info);
   void submit(ClientFlow &Flow);
   void scheduleStep(ServicePool &Pool);
@@ -152,6 +158,7 @@
   RegionShiftLimiter ShiftGate_;  ///< Limits traffic shifts between regions.
   RoutingConfigPtr Config_;       ///< Active configuration; null until known.
   RouteTable Routes_;             ///< Routes of the configuration.
+  WorkspaceAdmission Workspaces_; ///< Admits requests by workspace.
   std::map<std::string, std::unique_ptr<ServicePool>> Pools_; ///< By service.
   std::map<std::string, WeightedRoundRobin> Pickers_;         ///< By route.
   absl::flat_hash_map<uint64_t, std::unique_ptr<ClientFlow>>
--- /dev/null
+++ b/src/steering/request_router_report.cpp
@@ -0,0 +1,59 @@
+/// \file request_router_report.cpp Demands for rate limits, logs and gauges.
+#include "steering/request_router_base.h"
+
+namespace cranberry {
+
+std::vector<RateDemand> RequestRouter::takeRateDemands() {
+  std::vector<RateDemand> Result;
+  for (auto &[Name, Pool] : Pools_)
+    for (RateDemand &Each : Pool->Balancer_.takeRateDemands(getNow()))
+      Result.push_back(std::move(Each));
+  return Result;
+}
+
+void RequestRouter::setRateShare(const std::string &Server,
+                                 const NamedRateLimit &Named, double Share) {
+  for (auto &[Name, Pool] : Pools_)
+    if (Pool->Servers_.contains(Server)) {
+      Pool->Balancer_.setRateShare(Server, Named, Share, getNow());
+      scheduleStep(*Pool);
+    }
+}
+
+void RequestRouter::logRateUse() {
+  Time Now = getNow();
+  for (auto &[Name, Pool] : Pools_)
+    for (const RateUse &Use : Pool->Balancer_.getRateUse(Now))
+      Log_.write(Now, "rate-use",
+                 {{"server", Use.Server_},
+                  {"service", Name},
+                  {"limit", Use.Limit_},
+                  {"share", Use.Share_},
+                  {"starts", Use.Starts_},
+                  {"windowMs", RecentStarts::Window}});
+}
+
+void RequestRouter::updateGauges() {
+  Time Now = getNow();
+  for (auto &[Name, Pool] : Pools_) {
+    Metrics_.setGauge("cranberry_waiting_requests", Name,
+                      static_cast<double>(Pool->Balancer_.getWaiting()));
+    Metrics_.setGauge("cranberry_requests_in_flight", Name,
+                      Pool->Balancer_.getInFlight());
+    Metrics_.setGauge("cranberry_usable_servers", Name,
+                      static_cast<double>(Pool->Servers_.size()));
+    Metrics_.setGauge("cranberry_cold_servers", Name,
+                      Pool->Balancer_.getColdServers(Now));
+    Metrics_.setGauge(
+        "cranberry_limited_servers", Name,
+        static_cast<double>(Pool->Balancer_.getRateUse(Now).size()));
+    Metrics_.setGauge("cranberry_repeat_budget_left", Name,
+                      Pool->RetryBudget_.getRemaining(Now));
+  }
+  Metrics_.setGauge("cranberry_open_requests", "all",
+                    static_cast<double>(Flows_.size()));
+  Metrics_.setGauge("cranberry_server_connections_opened", "all",
+                    static_cast<double>(Connections_.getOpenedCount()));
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/steering/steering_vm_ports.cpp
@@ -0,0 +1,67 @@
+/// \file steering_vm_ports.cpp Readiness, look-ups and metrics of an entry VM.
+#include "net/http_message_func.h"
+#include "platform/decode_func.h"
+#include "platform/wire_names.h"
+#include "steering/lookup_directory_func.h"
+#include "steering/steering_vm_base.h"
+
+namespace cranberry {
+
+namespace {
+
+constexpr unsigned Ok = 200;
+constexpr unsigned NotFound = 404;
+constexpr unsigned Unavailable = 503;
+
+std::string toString(boost::beast::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+} // namespace
+
+void SteeringVm::handleReadiness(const IngressExchangePtr &Exchange) {
+  if (Exchange->getMessage().target() != platform::path::Readiness)
+    Exchange->respond(makeResponse(NotFound, ""));
+  else
+    Exchange->respond(makeResponse(isReady() ? Ok : Unavailable, ""));
+}
+
+void SteeringVm::handleLookup(const IngressExchangePtr &Exchange) {
+  std::optional<platform::LookupQuery> Question =
+      platform::decodeLookupQuery(toString(Exchange->getMessage().target()));
+  if (!Question) {
+    Metrics_.countLookup(ResultCode::PathUnknown);
+    Exchange->respond(makeResponse(NotFound, ""));
+    return;
+  }
+  MemberList Vms = Peers_.getMembers();
+  if (!isReady())
+    std::erase_if(Vms,
+                  [this](const Member &Vm) { return Vm.Vm_ == Settings_.Vm_; });
+  std::vector<std::string> Addresses =
+      selectLookupAddresses(Vms, Question->Region_, Question->Zone_);
+  Metrics_.countLookup(Addresses.empty() ? ResultCode::NoEntryVm
+                                         : ResultCode::Ok);
+  if (Addresses.empty())
+    Exchange->respond(makeResponse(Unavailable, ""));
+  else
+    Exchange->respond(
+        platform::encodeLookupResponse(Addresses, Settings_.LookupTtl_));
+}
+
+void SteeringVm::handleMetrics(const IngressExchangePtr &Exchange) {
+  Router_.updateGauges();
+  Metrics_.setGauge("cranberry_config_version", "force",
+                    static_cast<double>(View_.getVersion()));
+  Metrics_.setGauge("cranberry_entry_vms", "known",
+                    static_cast<double>(MemberCount_));
+  Metrics_.setGauge("cranberry_vm_use", "all", VmLoad_.getUse());
+  Metrics_.setGauge("cranberry_store_calls", "all",
+                    static_cast<double>(Store_.getCallCount()));
+  Metrics_.setGauge("cranberry_log_lines_dropped", "all",
+                    static_cast<double>(Log_.getDroppedCount()));
+  Exchange->respond(
+      makeResponse(Ok, Metrics_.serialize(), "text/plain; version=0.0.4"));
+}
+
+} // namespace cranberry
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -74,6 +74,7 @@
       scaleDuration(Config.ServerDrain_, ServerWatchIntervalShare));
   ServerFollower_.setMaxWatchWait(
       scaleDuration(Config.ServerDrain_, ServerWatchWaitShare));
+  MaxAge_ = Config.ServerDrain_;
   MaxFreshAge_ = scaleDuration(Config.ServerDrain_,
                                ServerWatchIntervalShare + FreshAgeMarginShare);
 }
--- a/src/steering/store_view_base.h
+++ b/src/steering/store_view_base.h
@@ -85,6 +85,12 @@
   /// \return Time since the servers were last read.
   Duration getServerAge(Time Now) const { return ServerFollower_.getAge(Now); }
 
+  /// \return Whether a newer configuration would be known. The servers come
+  /// from the same source and are read all the time.
+  bool isConfigCurrent(Time Now) const {
+    return !ConfigFollower_.isUnavailable() && getServerAge(Now) < MaxAge_;
+  }
+
 private:
   FollowHandlers makeConfigHandlers();
   FollowHandlers makeServerHandlers();
@@ -118,6 +124,7 @@
   std::string Reader_; ///< Peer that is read from, or empty.
   std::unique_ptr<platform::StoreClient> ReaderClient_; ///< Calls to that peer.
   Duration MaxFreshAge_{0}; ///< Maximum age of servers that are relayed.
+  Duration MaxAge_{0};      ///< Bound on the age of what a VM in touch knows.
 };
 
 } // namespace cranberry
--- a/src/version/routing_type.h
+++ b/src/version/routing_type.h
@@ -2,8 +2,10 @@
 #ifndef CRANBERRY_VERSION_ROUTING_TYPE_H
 #define CRANBERRY_VERSION_ROUTING_TYPE_H
 
+#include "core/result_type.h"
 #include "core/time_type.h"
 #include "version/object_type.h"
+#include "version/workspace_type.h"
 
 #include <memory>
 #include <string>
@@ -27,6 +29,7 @@
   Duration LatencyObjective_{0}; ///< Latency objective of a request.
   unsigned Priority_ = 0;        ///< Priority; 0 is the highest.
   unsigned MaxServers_ = 1;      ///< Maximum servers that a request is sent to.
+  bool IsAnonymous_ = false;     ///< Whether requests need no API key.
   bool HasAffinity_ = false; ///< Whether an affinity key selects the server.
   std::vector<WeightedService>
       TrafficSplit_; ///< Services of the route; at least one.
@@ -58,6 +61,11 @@
   std::vector<RouteConfig> Routes_; ///< Routes; RouteTable holds their indices.
   std::vector<BackendServiceConfig> Services_; ///< Backend services.
   ClientLimits Limits_; ///< Limits that apply to all clients.
+  /// Whether requests need API keys. Also set if no workspace is valid.
+  bool HasWorkspaces_ = false;
+  std::vector<WorkspaceConfig> Workspaces_; ///< Valid workspaces.
+  /// Workspaces that were left out, with the reasons.
+  std::vector<Reason> RefusedWorkspaces_;
 };
 
 using RoutingConfigPtr = std::shared_ptr<const RoutingConfig>;
