--- a/standin/route_client.cpp
+++ b/standin/route_client.cpp
@@ -54,6 +54,8 @@
   if (Call.Deadline_ > Duration(0))
     Message.set(platform::header::Deadline,
                 std::to_string(toMilliseconds(Call.Deadline_)));
+  for (const auto &[Name, Value] : Call.Fields_)
+    Message.insert(Name, Value);
   std::string Bytes = serializeRequest(Message);
   return await(Limit, [&](auto Done) {
     boost::asio::async_write(*Socket_, boost::asio::buffer(Bytes), Done);
--- a/standin/route_client_base.h
+++ b/standin/route_client_base.h
@@ -10,6 +10,8 @@
 
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace cranberry::standin {
 
@@ -20,6 +22,8 @@
   std::string Id_;       ///< Attempt id; omitted if empty.
   std::string Key_;      ///< Affinity key; omitted if empty.
   Duration Deadline_{0}; ///< Relative deadline; omitted if zero.
+  /// Further header fields, by name; a name may occur several times.
+  std::vector<std::pair<std::string, std::string>> Fields_;
 };
 
 /// Result of a client request.
--- a/standin/routed_fleet.cpp
+++ b/standin/routed_fleet.cpp
@@ -102,7 +102,7 @@
   return false;
 }
 
-unsigned RoutedFleet::configure(const json &Routes) {
+unsigned RoutedFleet::configure(const json &Routes, const json &Workspaces) {
   json Services = json::array();
   for (const std::string &Service : Plan_.Services_)
     Services.push_back({{"name", Service},
@@ -115,6 +115,7 @@
              {{"version", absl::StrFormat("%08x", Version_)},
               {"routes", Routes},
               {"services", Services},
+              {"tenants", Workspaces},
               {"limits",
                {{"headerBytes", 16384},
                 {"bodyBytes", 1 << 20},
--- a/standin/routed_fleet_base.h
+++ b/standin/routed_fleet_base.h
@@ -66,8 +66,10 @@
   bool waitReady(size_t Vm, Duration Limit);
 
   /// Publishes the next configuration version with the given routes.
+  /// \param Workspaces Workspaces, or null for a configuration without any.
   /// \return Version number.
-  unsigned configure(const nlohmann::json &Routes);
+  unsigned configure(const nlohmann::json &Routes,
+                     const nlohmann::json &Workspaces = nullptr);
 
   /// Writes or removes the entry of a backend server in the object store.
   void registerServer(const FleetServer &Server, bool IsDraining = false);
--- a/standin/routed_server.cpp
+++ b/standin/routed_server.cpp
@@ -118,8 +118,16 @@
 
 void RoutedServer::run(const IngressExchangePtr &Exchange) {
   const RequestMessage &Message = Exchange->getMessage();
-  Runs_.push_back({toString(Message[platform::header::AttemptId]),
-                   toString(Message.target()), getNow()});
+  ServerRun Run{toString(Message[platform::header::AttemptId]),
+                toString(Message.target()),
+                getNow(),
+                {},
+                Message.count(boost::beast::http::field::authorization) > 0};
+  auto [First, End] = Message.equal_range(platform::header::WorkspaceName);
+  for (; First != End; ++First)
+    Run.Workspace_ +=
+        (Run.Workspace_.empty() ? "" : ",") + toString(First->value());
+  Runs_.push_back(std::move(Run));
   if (Fault_ == ResponseFault::Silent) {
     Held_.push_back(Exchange);
     return;
--- a/standin/routed_server_base.h
+++ b/standin/routed_server_base.h
@@ -30,6 +30,8 @@
   std::string AttemptId_; ///< Attempt id sent by the client.
   std::string Target_;    ///< Path and query.
   Time At_;               ///< Start time.
+  std::string Workspace_; ///< Workspace names in the request, joined by ",".
+  bool HasCredentials_ = false; ///< Whether the request carried credentials.
 };
 
 /// A backend server with slots. Responses echo the request's attempt id and
