--- a/src/version/workspace_key_type.h
+++ b/src/version/workspace_key_type.h
@@ -23,7 +23,9 @@
   friend bool operator==(const WorkspaceKeyDigest &A,
                          const WorkspaceKeyDigest &B);
 
+  /// Hashes the digest for Abseil's tables, which look for this name.
   template <typename H>
+  // NOLINTNEXTLINE(readability-identifier-naming)
   friend H AbslHashValue(H State, const WorkspaceKeyDigest &Digest) {
     return H::combine(std::move(State), Digest.Value_);
   }
