--- a/test/process/workspace_test.cpp
+++ b/test/process/workspace_test.cpp
@@ -1,6 +1,8 @@
 /// \file workspace_test.cpp Requests of workspaces through entry VM processes.
 #include "test/support/steering_fixture_base.h"
 
+#include <future>
+
 using namespace cranberry;
 using namespace cranberry::standin;
 using cranberry::test::SteeringFixture;
@@ -29,10 +31,11 @@
 
 /// Sends requests and finds where they ran.
 struct Caller {
-  explicit Caller(RoutedFleet &Fleet) : Fleet_(Fleet) {}
+  explicit Caller(RoutedFleet &Fleet, std::string Prefix = "id")
+      : Fleet_(Fleet), Prefix_(std::move(Prefix)) {}
 
   ClientReply call(size_t Vm, const std::string &Target, Fields Extra) {
-    Id_ = "id" + std::to_string(++Count_);
+    Id_ = Prefix_ + std::to_string(++Count_);
     RouteClient Client(Fleet_.vm(Vm).FrontLink_->getAddress());
     return Client.call({"GET", Target, Id_, "", seconds(3), std::move(Extra)},
                        seconds(10));
@@ -52,6 +55,7 @@
   }
 
   RoutedFleet &Fleet_; ///< Fleet under test.
+  std::string Prefix_; ///< Begin of the ids.
   std::string Id_;     ///< Id of the last request.
   int Count_ = 0;      ///< Number of requests.
 };
@@ -125,3 +129,32 @@
     CHECK(Client.getStatus(Vm, "k3") == 200);
   }
 }
+
+TEST_CASE("workspace: a request that waits when its key is withdrawn is "
+          "refused, and one that runs is answered") {
+  FleetPlan Plan{{"north-a"}, {"one"}};
+  Plan.ServersPerZone_ = 1;
+  Plan.Slots_ = 1;
+  Plan.ServiceTime_ = milliseconds(1000);
+  SteeringFixture Test(Plan);
+  Test.Fleet_.configure(makeRoutes(),
+                        json::array({makeWorkspace("acme", {"k1"})}));
+  Test.startAll();
+  Caller First(Test.Fleet_, "first");
+  Caller Second(Test.Fleet_, "second");
+  auto CallInThread = [](Caller &Client) {
+    return std::async(std::launch::async,
+                      [&Client] { return Client.getStatus(0, "k1"); });
+  };
+  std::future<unsigned> Running = CallInThread(First);
+  REQUIRE(SteeringFixture::waitUntil(
+      [&] { return Test.Fleet_.servers()[0].Server_->getArrivals() == 1; }));
+  std::future<unsigned> Waiting = CallInThread(Second);
+  // A request that arrives after the change is refused as well.
+  RouteClient("").pause(milliseconds(100));
+  Test.Fleet_.configure(makeRoutes(),
+                        json::array({makeWorkspace("acme", {"k2"})}));
+  CHECK(Waiting.get() == 401);
+  CHECK(Running.get() == 200);
+  CHECK(Second.getRun().first.AttemptId_.empty());
+}
