Fix: [Net] Each message has one reading, on both sides

Cause: the ingress let Boost.Beast's parser judge where a request ends. Trailer fields were added to the request, only the first Connection field counted, and its options could remove the attempt's id.

Change: message_framing checks heads as RFC 9112 says, BodyReader removes the framing of bodies, MessageReader joins them for clients and for servers. What has two readings is refused and the connection closed. Connection options keep the platform's fields; names of a workspace written with "_" are removed; a request with several attempt ids counts as one without.

--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -1,8 +1,10 @@
 /// \file http_message.cpp Serialization of HTTP/1.1 messages.
 #include "net/http_message_func.h"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
-#include <boost/beast/http/rfc7230.hpp>
+#include <absl/strings/str_split.h>
 
 #include <vector>
 
@@ -26,6 +28,14 @@
   }
 }
 
+/// \return Whether a message means something else without the field \p Name. A
+/// sender must not name such a field in Connection (RFC 9110, 7.6.1).
+bool isEndToEnd(absl::string_view Name) {
+  return absl::EqualsIgnoreCase(Name, "host") ||
+         absl::EqualsIgnoreCase(Name, "authorization") ||
+         absl::StartsWithIgnoreCase(Name, "content-");
+}
+
 /// \return Whether responses with \p Status never have a body.
 bool isBodiless(unsigned Status) {
   constexpr unsigned NoContent = 204;
@@ -36,10 +46,15 @@
 
 } // namespace
 
-void eraseHopByHopFields(http::fields &Fields) {
+void eraseHopByHopFields(http::fields &Fields, FieldFilter IsKept) {
   std::vector<std::string> Named;
-  for (const auto &Token : http::token_list(Fields[http::field::connection]))
-    Named.emplace_back(Token);
+  auto [First, End] = Fields.equal_range(http::field::connection);
+  for (auto Each = First; Each != End; ++Each)
+    for (absl::string_view Name : absl::StrSplit(toView(Each->value()), ',')) {
+      Name = absl::StripAsciiWhitespace(Name);
+      if (!isEndToEnd(Name) && !(IsKept && IsKept({Name.data(), Name.size()})))
+        Named.emplace_back(Name);
+    }
   for (const std::string &Name : Named)
     Fields.erase(Name);
   for (http::field Name :
--- a/src/net/http_message_func.h
+++ b/src/net/http_message_func.h
@@ -9,9 +9,15 @@
 
 namespace cranberry {
 
-/// Removes the hop-by-hop header fields, including those listed in the
-/// Connection field, before a message is forwarded.
-void eraseHopByHopFields(boost::beast::http::fields &Fields);
+/// \return Whether a field of the given name has a certain property.
+using FieldFilter = bool (*)(std::string_view Name);
+
+/// Removes the hop-by-hop header fields, including those listed in Connection
+/// fields, before a message is forwarded.
+/// \param IsKept Fields that stay even if Connection lists them. Host,
+/// Authorization and Content-* always do.
+void eraseHopByHopFields(boost::beast::http::fields &Fields,
+                         FieldFilter IsKept = nullptr);
 
 /// \return \p Message in wire format. Content-Length is computed from the body;
 /// a field of that name in the message is ignored.
--- a/src/net/ingress_connection.cpp
+++ b/src/net/ingress_connection.cpp
@@ -25,15 +25,6 @@
 /// client might lose the response.
 constexpr Duration LingerTimeout = seconds(1);
 
-unsigned getErrorStatus(const error_code &Error) {
-  constexpr unsigned BadRequest = 400;
-  constexpr unsigned TooLarge = 413;
-  constexpr unsigned HeadTooLarge = 431;
-  if (Error == http::error::header_limit)
-    return HeadTooLarge;
-  return Error == http::error::body_limit ? TooLarge : BadRequest;
-}
-
 } // namespace
 
 void IngressExchange::respond(const ResponseMessage &Response) {
@@ -93,57 +84,62 @@
 void IngressConnection::parse() {
   while (ReadBuffer_.size() > 0 && !IsFinalRequestRead_ && !IsClosed_ &&
          Pipeline_.size() < MaxPipelined) {
-    if (!Parser_) {
-      Parser_.emplace();
-      Parser_->eager(true);
-      Parser_->header_limit(
-          static_cast<uint32_t>(Server_.getLimits().MaxHeaderBytes_));
-      Parser_->body_limit(Server_.getLimits().MaxBodyBytes_);
+    if (!Reader_) {
+      const IngressLimits &Limits = Server_.getLimits();
+      Reader_.emplace(
+          MessageLimits{Limits.MaxHeaderBytes_, Limits.MaxBodyBytes_});
       HeadStartTime_ = LastActivity_;
     }
-    error_code Error;
-    size_t Used = Parser_->put(ReadBuffer_.data(), Error);
-    ReadBuffer_.consume(Used);
-    if (Error == http::error::body_limit && Server_.OversizeHandler_) {
-      RequestMessage Head = std::move(Parser_->get());
-      Head.body().clear();
-      Server_.OversizeHandler_(enqueueFinalRequest(std::move(Head)));
+    auto Bytes = ReadBuffer_.data();
+    ReadBuffer_.consume(Reader_->consume(
+        {static_cast<const char *>(Bytes.data()), Bytes.size()}));
+    if (Reader_->getError()) {
+      refuseRequest();
       return;
     }
-    if (Error && Error != http::error::need_more) {
-      respondWithError(getErrorStatus(Error));
-      return;
-    }
-    if (Parser_->is_done()) {
+    if (Reader_->isComplete())
       dispatchRequest();
-      continue;
-    }
-    if (Parser_->is_header_done() && Pipeline_.empty() && !IsWriting_ &&
-        Parser_->get()[http::field::expect] == "100-continue") {
-      Parser_->get().erase(http::field::expect);
-      WriteBuffer_ = "HTTP/1.1 100 Continue\r\n\r\n";
-      IsWriting_ = true;
-      boost::asio::async_write(
-          Socket_, boost::asio::buffer(WriteBuffer_),
-          [Self = shared_from_this()](error_code Failed, size_t) {
-            Self->onWriteComplete(bool(Failed));
-          });
-    }
-    if (Used == 0 || Error == http::error::need_more) {
-      // What waits is an incomplete head, chunk size or trailer.
-      if (ReadBuffer_.size() > Server_.getLimits().MaxHeaderBytes_)
-        respondWithError(getErrorStatus(http::error::header_limit));
-      return;
-    }
+    else
+      sendContinue();
   }
 }
 
+void IngressConnection::refuseRequest() {
+  unsigned Status = Reader_->getError()->Status_;
+  // Where the next request begins can't be told.
+  ReadBuffer_.consume(ReadBuffer_.size());
+  constexpr unsigned TooLarge = 413;
+  if (Status != TooLarge || !Server_.OversizeHandler_) {
+    respondWithError(Status);
+    return;
+  }
+  RequestMessage Head = std::move(Reader_->getMessage());
+  Head.body().clear();
+  Server_.OversizeHandler_(enqueueFinalRequest(std::move(Head)));
+}
+
+void IngressConnection::sendContinue() {
+  if (IsContinueSent_ || !Reader_->isHeadComplete() ||
+      !Reader_->getFraming().IsContinueExpected_ || !Pipeline_.empty() ||
+      IsWriting_)
+    return;
+  IsContinueSent_ = true;
+  WriteBuffer_ = "HTTP/1.1 100 Continue\r\n\r\n";
+  IsWriting_ = true;
+  boost::asio::async_write(
+      Socket_, boost::asio::buffer(WriteBuffer_),
+      [Self = shared_from_this()](error_code Failed, size_t) {
+        Self->onWriteComplete(bool(Failed));
+      });
+}
+
 void IngressConnection::dispatchRequest() {
   auto Exchange = std::make_shared<IngressExchange>(
-      weak_from_this(), Parser_->release(), LastActivity_);
-  Parser_.reset();
+      weak_from_this(), std::move(Reader_->getMessage()), LastActivity_);
+  Exchange->IsKeepAlive_ = Reader_->getFraming().IsKeepAlive_;
+  Reader_.reset();
+  IsContinueSent_ = false;
   Exchange->IsHeadRequest_ = Exchange->Message_.method() == http::verb::head;
-  Exchange->IsKeepAlive_ = Exchange->Message_.keep_alive();
   IsFinalRequestRead_ = !Exchange->IsKeepAlive_;
   Pipeline_.push_back(Exchange);
   Server_.Handler_(Exchange);
@@ -155,7 +151,7 @@
       weak_from_this(), std::move(Message), LastActivity_);
   Exchange->IsKeepAlive_ = false;
   IsFinalRequestRead_ = true;
-  Parser_.reset();
+  Reader_.reset();
   Pipeline_.push_back(Exchange);
   return Exchange;
 }
@@ -171,7 +167,7 @@
   while (!Pipeline_.empty() && Pipeline_.front()->HasResponse_) {
     IngressExchangePtr Exchange = Pipeline_.front();
     Pipeline_.pop_front();
-    bool IsLast = Pipeline_.empty() && ReadBuffer_.size() == 0 && !Parser_;
+    bool IsLast = Pipeline_.empty() && ReadBuffer_.size() == 0 && !Reader_;
     if (IsLast && Server_.isDraining())
       IsFinalRequestRead_ = true;
     std::string &Text = Exchange->SerializedResponse_;
@@ -227,13 +223,13 @@
   if (hasOpenRequests() || IsWriting_)
     return;
   constexpr unsigned RequestTimeout = 408;
-  if (Parser_ && !Parser_->is_header_done()) {
+  if (Reader_ && !Reader_->isHeadComplete()) {
     if (Now - HeadStartTime_ > Limits.HeaderTimeout_)
       respondWithError(RequestTimeout);
     return;
   }
   if (Now - LastActivity_ > Limits.IdleTimeout_) {
-    if (Parser_)
+    if (Reader_)
       respondWithError(RequestTimeout);
     else
       close();
@@ -241,7 +237,7 @@
 }
 
 void IngressConnection::closeIfIdle() {
-  if (!hasOpenRequests() && !IsWriting_ && !Parser_ && !IsLingering_)
+  if (!hasOpenRequests() && !IsWriting_ && !Reader_ && !IsLingering_)
     close();
 }
 
--- a/src/net/ingress_connection_base.h
+++ b/src/net/ingress_connection_base.h
@@ -3,9 +3,9 @@
 #define CRANBERRY_NET_INGRESS_CONNECTION_BASE_H
 
 #include "net/ingress_server_base.h"
+#include "net/message_reader_base.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <deque>
 #include <optional>
@@ -40,13 +40,14 @@
   void close();
 
 private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
-
   void read();
   void parse();
   /// Passes the parsed request to the handler.
   void dispatchRequest();
+  /// Responds to a request that can't be read or is too large.
+  void refuseRequest();
+  /// Sends an interim response if the client waits for it.
+  void sendContinue();
   void respondWithError(unsigned Status);
   /// Queues a request after which the connection is closed.
   IngressExchangePtr enqueueFinalRequest(RequestMessage Message);
@@ -58,7 +59,7 @@
   IngressServer &Server_;                ///< Owner, outlives the connection.
   boost::asio::ip::tcp::socket Socket_;  ///< Client socket.
   boost::beast::flat_buffer ReadBuffer_; ///< Received, unparsed bytes.
-  std::optional<Parser> Parser_;         ///< Request being read.
+  std::optional<RequestReader> Reader_;  ///< Request being read.
   std::deque<IngressExchangePtr>
       Pipeline_;                    ///< Requests in order, response unsent.
   std::string WriteBuffer_;         ///< Bytes being written.
@@ -66,6 +67,7 @@
   Time HeadStartTime_;              ///< First byte of the request head.
   bool IsReading_ = false;          ///< A read is pending.
   bool IsWriting_ = false;          ///< A write is pending.
+  bool IsContinueSent_ = false;     ///< See sendContinue().
   bool IsFinalRequestRead_ = false; ///< No further requests are read.
   bool IsLingering_ = false;        ///< See linger().
   bool IsClosed_ = false;           ///< Socket is closed.
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -23,9 +23,8 @@
 
 constexpr size_t ReadBytes = 8192; ///< Maximum bytes per read.
 
-/// Maximum number of bytes that wait for the end of a head, of a chunk's size
-/// or of a trailer.
-constexpr size_t MaxUnparsedBytes = 65536;
+/// Maximum number of bytes of a head, and of chunk extensions with a trailer.
+constexpr size_t MaxHeadBytes = 65536;
 
 /// Maximum number of interim responses and responses to other requests before
 /// the response to a request. A server sends a few at most.
@@ -112,7 +111,7 @@
   IsReusable_ = false;
   IsWriting_ = true;
   SkippedResponses_ = 0;
-  Parser_.reset();
+  Reader_.reset();
   boost::asio::async_write(
       Socket_, boost::asio::buffer(Spec_.Bytes_),
       [Self = shared_from_this()](error_code Error, size_t) {
@@ -147,62 +146,35 @@
     return;
   }
   // A response without a length is complete only after an orderly close.
-  bool EndsWithClose = Error == boost::asio::error::eof && Parser_ &&
-                       Parser_->is_header_done() && Parser_->need_eof();
-  if (EndsWithClose) {
-    error_code Ended;
-    Parser_->put_eof(Ended);
-    if (!Ended) {
-      handleResponse();
-      return;
-    }
+  if (Error == boost::asio::error::eof && Reader_ && Reader_->endsWithClose()) {
+    handleResponse();
+    return;
   }
-  bool IsPartial = Parser_ && Parser_->got_some();
-  completeAttempt(IsPartial ? AttemptStatus::Truncated : AttemptStatus::Broken);
+  completeAttempt(Reader_ ? AttemptStatus::Truncated : AttemptStatus::Broken);
 }
 
 bool ServerConnection::parse() {
   while (ReadBuffer_.size() > 0 && OnComplete_) {
-    if (!Parser_) {
-      Parser_.emplace();
-      Parser_->skip(Spec_.IsHeadRequest_);
-      Parser_->body_limit(ReceiveBudget::MaxBytes);
-    }
-    error_code Error;
-    size_t Used = Parser_->put(ReadBuffer_.data(), Error);
-    ReadBuffer_.consume(Used);
-    if (Error && Error != http::error::need_more) {
+    if (!Reader_)
+      Reader_.emplace(MessageLimits{MaxHeadBytes, ReceiveBudget::MaxBytes},
+                      Spec_.IsHeadRequest_);
+    auto Bytes = ReadBuffer_.data();
+    ReadBuffer_.consume(Reader_->consume(
+        {static_cast<const char *>(Bytes.data()), Bytes.size()}));
+    if (Reader_->getError()) {
       completeAttempt(AttemptStatus::Garbled);
       return false;
     }
-    if (Parser_->is_done()) {
+    if (Reader_->isComplete())
       handleResponse();
-      continue;
-    }
-    if (Parser_->is_header_done() && !Parser_->eager()) {
-      // The parser reserves the length that the head states before it checks
-      // the limit.
-      if (Parser_->content_length().value_or(0) > ReceiveBudget::MaxBytes) {
-        completeAttempt(AttemptStatus::Garbled);
-        return false;
-      }
-      Parser_->eager(true);
-      continue;
-    }
-    if (!enforceLimits())
+    else if (!enforceLimits())
       return false;
-    if (Used == 0 || Error == http::error::need_more)
-      break;
   }
   return true;
 }
 
 bool ServerConnection::enforceLimits() {
-  if (ReadBuffer_.size() > MaxUnparsedBytes) {
-    completeAttempt(AttemptStatus::Garbled);
-    return false;
-  }
-  Budget_.update(this, Parser_->get().body().size());
+  Budget_.update(this, Reader_->getMessage().body().size());
   while (ServerConnection *Largest = Budget_.findExcess())
     Largest->completeAttempt(AttemptStatus::Garbled);
   return !IsClosed_;
@@ -210,9 +182,9 @@
 
 void ServerConnection::handleResponse() {
   constexpr unsigned FirstFinal = 200;
-  bool KeepsAlive = Parser_->keep_alive();
-  ResponseMessage Response = Parser_->release();
-  Parser_.reset();
+  bool KeepsAlive = Reader_->getFraming().IsKeepAlive_;
+  ResponseMessage Response = std::move(Reader_->getMessage());
+  Reader_.reset();
   Budget_.update(this, 0);
   bool IsInterim = Response.result_int() < FirstFinal;
   ResponseMatch Match = IsInterim
--- a/src/net/server_connection_base.h
+++ b/src/net/server_connection_base.h
@@ -3,13 +3,13 @@
 #define CRANBERRY_NET_SERVER_CONNECTION_BASE_H
 
 #include "net/attempt_type.h"
+#include "net/message_reader_base.h"
 #include "net/receive_budget_base.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <memory>
 #include <optional>
@@ -45,9 +45,6 @@
   Time getIdleSince() const { return IdleSince_; }
 
 private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
-
   void startRequest();
   void read();
   void onReadComplete(const boost::system::error_code &Error);
@@ -60,7 +57,7 @@
   boost::asio::ip::tcp::socket Socket_;    ///< Socket to the server.
   boost::asio::steady_timer ConnectTimer_; ///< Connect timeout.
   boost::beast::flat_buffer ReadBuffer_;   ///< Received, unparsed bytes.
-  std::optional<Parser> Parser_;           ///< Response being read.
+  std::optional<ResponseReader> Reader_;   ///< Response being read.
   ReceiveBudget &Budget_;                  ///< Limits buffered responses.
   unsigned SkippedResponses_ = 0;       ///< Responses to other requests so far.
   AttemptSpec Spec_;                    ///< Current request.
--- a/src/platform/decode_fields.cpp
+++ b/src/platform/decode_fields.cpp
@@ -5,6 +5,7 @@
 #include "core/duration_func.h"
 #include "platform/wire_names.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
@@ -70,9 +71,19 @@
 
 } // namespace
 
+bool isPlatformField(std::string_view Name) {
+  absl::string_view Text(Name.data(), Name.size());
+  return absl::StartsWithIgnoreCase(Text, header::Prefix) ||
+         absl::EqualsIgnoreCase(Text, header::RateLimit) ||
+         absl::EqualsIgnoreCase(Text, header::Leaving) ||
+         absl::EqualsIgnoreCase(Text, header::Era);
+}
+
 ClientRequestInfo decodeClientRequest(const RequestMessage &Request) {
   ClientRequestInfo Result;
-  Result.AttemptId_ = toString(Request[header::AttemptId]);
+  // A server could take another one of several ids.
+  if (Request.count(header::AttemptId) == 1)
+    Result.AttemptId_ = toString(Request[header::AttemptId]);
   Result.AffinityKey_ = toString(Request[header::AffinityKey]);
   double Patience = 0;
   if (absl::SimpleAtod(toString(Request[header::Deadline]), &Patience) &&
--- a/src/platform/decode_func.h
+++ b/src/platform/decode_func.h
@@ -12,6 +12,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cranberry::platform {
@@ -49,7 +50,11 @@
   std::string Zone_;   ///< Client's availability zone.
 };
 
-/// Reads the header fields of a client's request.
+/// \return Whether the platform's protocol defines the header field \p Name.
+bool isPlatformField(std::string_view Name);
+
+/// Reads the header fields of a client's request. The attempt's id is empty if
+/// the request has several.
 ClientRequestInfo decodeClientRequest(const RequestMessage &Request);
 /// Reads the header fields of a server's response.
 ServerResponseInfo decodeServerResponse(const ResponseMessage &Response);
@@ -57,7 +62,7 @@
 /// Reads the API key of a client's request and removes all fields with keys.
 ClientKey takeClientKey(RequestMessage &Request);
 /// Names the workspace of a request for the server, in place of any name that
-/// the client sent.
+/// the client sent, also if "_" is written for "-", as some servers read both.
 /// \param Name Name of the workspace, or empty for none.
 void setWorkspaceName(RequestMessage &Request, const std::string &Name);
 
@@ -116,7 +121,8 @@
 bool isRenewal(const nlohmann::json &Before, const nlohmann::json &After);
 
 /// \return Changes of a watch response, or nothing if \p Body is not one.
-/// Events that can't be decoded are skipped.
+/// Events that can't be decoded are skipped, or have no body, as in
+/// decodePage().
 std::optional<StoreChanges> decodeChanges(const std::string &Body, Reason &Why);
 
 } // namespace cranberry::platform
--- a/src/platform/decode_workspaces.cpp
+++ b/src/platform/decode_workspaces.cpp
@@ -122,7 +122,13 @@
 }
 
 void setWorkspaceName(RequestMessage &Request, const std::string &Name) {
-  Request.erase(header::WorkspaceName);
+  for (auto Field = Request.begin(); Field != Request.end();) {
+    std::string Plain(Field->name_string());
+    std::replace(Plain.begin(), Plain.end(), '_', '-');
+    Field = absl::EqualsIgnoreCase(Plain, header::WorkspaceName)
+                ? Request.erase(Field)
+                : std::next(Field);
+  }
   if (!Name.empty())
     Request.set(header::WorkspaceName, Name);
 }
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -6,6 +6,8 @@
 
 /// Names of header fields.
 namespace header {
+/// Prefix of most names.
+inline constexpr const char *Prefix = "X-Cranberrypost-";
 inline constexpr const char *AttemptId = "X-Cranberrypost-Attempt-Id";
 inline constexpr const char *AffinityKey = "X-Cranberrypost-Affinity-Key";
 inline constexpr const char *Deadline = "X-Cranberrypost-Deadline-Milliseconds";
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -199,7 +199,7 @@
     reject(Exchange, Info.AttemptId_, ResultCode::Stopping);
     return;
   }
-  eraseHopByHopFields(Message);
+  eraseHopByHopFields(Message, platform::isPlatformField);
   platform::setWorkspaceName(
       Message, Access.Workspace_ ? Access.Workspace_->Name_ : std::string());
   startDeadlineTimer(*Flow);
@@ -314,7 +314,7 @@
 }
 
 void RequestRouter::sendResponse(ClientFlow &Flow, ResponseMessage Response) {
-  eraseHopByHopFields(Response);
+  eraseHopByHopFields(Response, platform::isPlatformField);
   SentBytes_ += Response.body().size();
   Flow.Exchange_->respond(Response);
   closeFlow(Flow, ResultCode::Ok, ServerAttemptOutcome::Withdrawn);
--- a/test/fuzz/mutation_main.cpp
+++ b/test/fuzz/mutation_main.cpp
@@ -24,11 +24,21 @@
 /// Changes, removes, repeats or splices some bytes.
 std::string mutate(std::string Text, const std::vector<std::string> &Corpus,
                    std::mt19937_64 &Random) {
-  static const char *const Tokens[] = {
-      "1e999",   "-1",       "18446744073709551615",
-      "\\ud800", "[[[[[[[[", "]]]]]]]]",
-      "{\"",     "null",     "\"\"",
-      "\r\n",    ":99999",   "\xff"};
+  static const char *const Tokens[] = {"1e999",
+                                       "-1",
+                                       "18446744073709551615",
+                                       "\\ud800",
+                                       "[[[[[[[[",
+                                       "]]]]]]]]",
+                                       "{\"",
+                                       "null",
+                                       "\"\"",
+                                       "\r\n",
+                                       ":99999",
+                                       "\xff",
+                                       "0\r\n\r\n",
+                                       "Content-Length: 3\r\n",
+                                       "Transfer-Encoding: chunked\r\n"};
   for (uint64_t Steps = 1 + Random() % 6; Steps > 0; --Steps) {
     size_t At = Text.empty() ? 0 : Random() % Text.size();
     size_t Length = std::min<size_t>(1 + Random() % 16, Text.size() - At);
--- a/test/process/workspace_test.cpp
+++ b/test/process/workspace_test.cpp
@@ -80,6 +80,14 @@
   CHECK(Client.getRun().first.Workspace_ == "acme");
   CHECK_FALSE(Client.getRun().first.HasCredentials_);
 
+  // Nor does a Connection option take away what servers rely on.
+  CHECK(Client
+            .call(0, "/read/x",
+                  {{"Authorization", "Bearer k1"},
+                   {"Connection", "X-Cranberrypost-Attempt-Id, host"}})
+            .Status_ == 200);
+  CHECK(Client.getRun().first.AttemptId_ == Client.Id_);
+
   CHECK(Client.call(0, "/open/x", {{NameField, "acme"}}).Status_ == 200);
   CHECK(Client.getRun().first.Workspace_.empty());
 
