Fix: [Platform] An entry that can't be read costs that entry only

Cause: the text of a list was repaired and parsed as a whole.

Change: readEntryList reads each entry alone and finds the next one after an entry that can't be read; the repair is gone. Such an entry keeps its name and revision without its content, so it replaces what was known under that name. store-entry-unreadable names it in the log.

--- a/src/platform/decode.cpp
+++ b/src/platform/decode.cpp
@@ -41,6 +41,28 @@
   return Result;
 }
 
+bool isObject(const json &Value) {
+  if (!Value.is_object() || !Value.contains("metadata"))
+    return false;
+  const json &Meta = Value["metadata"];
+  return Meta.is_object() && Meta.contains("name") &&
+         Meta["name"].is_string() && Meta.contains("revision") &&
+         Meta["revision"].is_number();
+}
+
+bool isEvent(const json &Value) {
+  return Value.is_object() && Value.contains("object") &&
+         isObject(Value["object"]);
+}
+
+/// Decodes an object whose bytes can't be read as a whole.
+/// \return The object without a body, or nothing if its name can't be told.
+std::optional<StoreObject> decodeUnreadable(std::string_view Text) {
+  json Object = {{"metadata", findField(Text, "metadata", "specification")}};
+  Reason Skipped;
+  return decodeObject(Object, Skipped);
+}
+
 std::optional<RouteConfig> decodeRoute(const json &Value, Reason &Why) {
   FieldReader Fields(Value, Why);
   RouteConfig Route;
@@ -185,21 +207,33 @@
 std::optional<StoreObject> decodeObjectBody(const std::string &Body,
                                             Reason &Why) {
   json Value = parseForeignJson(Body);
+  if (Value.is_discarded())
+    if (std::optional<StoreObject> Named = decodeUnreadable(Body))
+      return Named;
   return decodeObject(Value, Why);
 }
 
 std::optional<StorePage> decodePage(const std::string &Body, Reason &Why) {
-  json Root = parseForeignJson(Body);
-  FieldReader Fields(Root, Why);
+  std::optional<EntryList> List = readEntryList(Body, "items", isObject);
+  if (!List) {
+    Why = {ResultCode::ObjectWrongType, "items", "not a readable list"};
+    return std::nullopt;
+  }
+  FieldReader Fields(List->Envelope_, Why);
   StorePage Result;
-  bool HasItems = Fields.checkList("items");
   Result.HasMore_ = Fields.has("hasMore") && Fields.getBool("hasMore");
   Result.Revision_ = Fields.getRevision("storeRevision");
-  if (!HasItems || !Fields.isValid())
+  if (!Fields.isValid())
     return std::nullopt;
-  for (json &Item : Root["items"]) {
+  for (ListEntry &Item : List->Entries_) {
     Reason Skipped; // Invalid items are skipped.
-    if (std::optional<StoreObject> Object = decodeObject(Item, Skipped))
+    bool IsReadable = !Item.Value_.is_discarded();
+    std::optional<StoreObject> Object = IsReadable
+                                            ? decodeObject(Item.Value_, Skipped)
+                                            : decodeUnreadable(Item.Text_);
+    if (!IsReadable)
+      Result.Unreadable_.push_back(Object ? Object->Name_ : "");
+    if (Object)
       Result.Objects_.push_back(std::move(*Object));
   }
   return Result;
@@ -207,19 +241,32 @@
 
 std::optional<StoreChanges> decodeChanges(const std::string &Body,
                                           Reason &Why) {
-  json Root = parseForeignJson(Body);
-  FieldReader Fields(Root, Why);
+  std::optional<EntryList> List = readEntryList(Body, "events", isEvent);
+  if (!List) {
+    Why = {ResultCode::ObjectWrongType, "events", "not a readable list"};
+    return std::nullopt;
+  }
+  FieldReader Fields(List->Envelope_, Why);
   StoreChanges Result;
-  bool HasEvents = Fields.checkList("events");
   Result.Revision_ = Fields.getRevision("storeRevision");
-  if (!HasEvents || !Fields.isValid())
+  if (!Fields.isValid())
     return std::nullopt;
-  for (json &Event : Root["events"]) {
+  for (ListEntry &Event : List->Entries_) {
+    if (Event.Value_.is_discarded()) {
+      std::optional<StoreObject> Object = decodeUnreadable(Event.Text_);
+      Result.Unreadable_.push_back(Object ? Object->Name_ : "");
+      if (Object)
+        Result.Changes_.push_back(
+            {std::move(*Object),
+             findField(Event.Text_, "removed", "specification") == true});
+      continue;
+    }
     Reason Skipped;
-    FieldReader EventFields(Event, Skipped);
+    FieldReader EventFields(Event.Value_, Skipped);
     if (!EventFields.has("object"))
       continue;
-    std::optional<StoreObject> Object = decodeObject(Event["object"], Skipped);
+    std::optional<StoreObject> Object =
+        decodeObject(Event.Value_["object"], Skipped);
     if (Object)
       Result.Changes_.push_back(
           {std::move(*Object),
--- a/src/platform/decode_func.h
+++ b/src/platform/decode_func.h
@@ -100,11 +100,13 @@
                                          Reason &Why);
 
 /// \return The object in the response to a call on a single object, or nothing.
+/// It has no body if only its name and revision can be read.
 std::optional<StoreObject> decodeObjectBody(const std::string &Body,
                                             Reason &Why);
 
 /// \return Objects of a list response, or nothing if \p Body is not one.
-/// Items that can't be decoded are skipped.
+/// Items that can't be decoded are skipped. One whose bytes can't be read has
+/// no body, so that it replaces what was known under its name.
 std::optional<StorePage> decodePage(const std::string &Body, Reason &Why);
 
 /// \return Parameters of a list or watch request, or nothing if \p Target is
--- a/src/platform/json_text_func.h
+++ b/src/platform/json_text_func.h
@@ -1,25 +1,55 @@
-/// \file json_text_func.h Prepares JSON that others wrote for the parser.
+/// \file json_text_func.h Reads JSON that others wrote, entry by entry.
 #ifndef CRANBERRY_PLATFORM_JSON_TEXT_FUNC_H
 #define CRANBERRY_PLATFORM_JSON_TEXT_FUNC_H
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace cranberry::platform {
 
 /// Maximum nesting of a value; copies and comparisons of values are recursive.
 inline constexpr unsigned MaxJsonDepth = 64;
 
-/// Replaces what makes the parser refuse the whole text or is unsafe
-/// afterwards, so that one odd entry of a list costs that entry only: bytes
-/// that aren't printable ASCII, half surrogate pairs, numbers beyond the range
-/// of double, and values nested deeper than MaxJsonDepth. Such numbers and
-/// values become strings, so that a field of them has the wrong type.
-std::string makeParsable(std::string Text);
-
-/// \return The parsed value; discarded if \p Text is not JSON.
-nlohmann::json parseForeignJson(std::string Text);
+/// An entry of a list.
+struct ListEntry {
+  nlohmann::json Value_;  ///< Discarded if the entry can't be read.
+  std::string_view Text_; ///< Bytes of an entry that can't be read.
+};
+
+/// A list with the object around it.
+struct EntryList {
+  nlohmann::json Envelope_;        ///< Object, with an empty list.
+  std::vector<ListEntry> Entries_; ///< Entries in their order.
+};
+
+/// \return Whether a value has the form of an entry.
+using EntryCheck = bool (*)(const nlohmann::json &Value);
+
+/// Reads an object that has a list. Bytes of one entry that aren't JSON cost
+/// that entry only: the next one is the first value from which on the rest of
+/// the list can be read, or if there is none, the first entry.
+/// \param Text Outlives the result.
+/// \param ListName Name of the list.
+/// \param IsEntry Used to find the next entry after one that can't be read.
+/// \return The list, or nothing if the object around it can't be read.
+std::optional<EntryList> readEntryList(std::string_view Text,
+                                       std::string_view ListName,
+                                       EntryCheck IsEntry);
+
+/// \return The value; discarded if \p Text isn't JSON or is nested deeper than
+/// MaxJsonDepth.
+nlohmann::json parseForeignJson(std::string_view Text);
+
+/// Reads a field of an object that can't be read as a whole.
+/// \param Name Name of a field that the object's writer doesn't fill.
+/// \param OtherName Name of the field with the content of its writer.
+/// \return The value; discarded if it can't be told.
+nlohmann::json findField(std::string_view Text, std::string_view Name,
+                         std::string_view OtherName);
 
 } // namespace cranberry::platform
 
--- a/src/platform/store_type.h
+++ b/src/platform/store_type.h
@@ -30,6 +30,9 @@
   std::vector<StoreObject> Objects_; ///< Objects, sorted by name.
   bool HasMore_ = false;             ///< Whether more pages follow.
   Revision Revision_ = 0;            ///< Store revision of the page.
+  /// Names of the objects whose bytes can't be read; empty if unknown. Those
+  /// with a name are in Objects_, without a body.
+  std::vector<std::string> Unreadable_;
 };
 
 /// A change of one object.
@@ -40,8 +43,9 @@
 
 /// Result of a watch.
 struct StoreChanges {
-  std::vector<StoreChange> Changes_; ///< Changes in the store's order.
-  Revision Revision_ = 0;            ///< Revision for the next watch.
+  std::vector<StoreChange> Changes_;    ///< Changes in the store's order.
+  Revision Revision_ = 0;               ///< Revision for the next watch.
+  std::vector<std::string> Unreadable_; ///< As in StorePage.
 };
 
 /// Parameters of a list or watch request.
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -26,6 +26,10 @@
 /// changes.
 constexpr Duration RelayMinWatchInterval = milliseconds(100);
 
+/// Names of unreadable entries that are logged. Each is logged once, as a
+/// writer may repeat it with each renewal.
+constexpr size_t MaxLoggedUnreadable = 256;
+
 } // namespace
 
 StoreFollower::StoreFollower(boost::asio::io_context &Loop,
@@ -100,6 +104,7 @@
     handleFailure(StoreStatus::Malformed, Why.Field_ + " " + Why.Message_);
     return;
   }
+  logUnreadable(Page->Unreadable_);
   StoreEra Era = Reply.Era_.value_or(Era_);
   bool IsFirst = ListedObjects_.empty();
   bool IsOlder = Era < Era_ ||
@@ -182,6 +187,7 @@
     return;
   }
   recordSuccess();
+  logUnreadable(Changes->Unreadable_);
   Revision_ = std::max(Revision_, Changes->Revision_);
   Cache_.applyChanges(*Changes);
   for (const StoreChange &Change : Changes->Changes_)
@@ -195,6 +201,17 @@
                 &StoreFollower::requestWatch);
 }
 
+void StoreFollower::logUnreadable(const std::vector<std::string> &Names) {
+  UnreadableCount_ += Names.size();
+  for (const std::string &Name : Names)
+    if (LoggedUnreadable_.size() < MaxLoggedUnreadable &&
+        LoggedUnreadable_.insert(Name).second)
+      Log_.write(getNow(), "store-entry-unreadable",
+                 {{"kind", Options_.Kind_},
+                  {"name", Name},
+                  {"count", UnreadableCount_}});
+}
+
 void StoreFollower::handleFailure(StoreStatus Status, const std::string &Text) {
   if (IsCallToRelay_) {
     Handlers_.OnRelayFailed_(Status, Text);
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -88,6 +89,9 @@
   /// \return Whether the kind has been listed at least once.
   bool isListed() const { return IsListed_; }
 
+  /// \return Number of entries read so far whose bytes can't be read.
+  uint64_t getUnreadableCount() const { return UnreadableCount_; }
+
   /// \return Time since the last successful call.
   Duration getAge(Time Now) const { return Now - LastSuccess_; }
 
@@ -105,6 +109,7 @@
   platform::StoreClient &selectClient();
   void handleChanges(const platform::StoreResponse &Reply);
   void takeEra();
+  void logUnreadable(const std::vector<std::string> &Names);
   void handleFailure(platform::StoreStatus Status, const std::string &Text);
   void recordSuccess();
   platform::StoreResponseHandler makeResponseHandler(
@@ -126,10 +131,12 @@
   Revision Revision_ = 0;          ///< Revision up to which changes are known.
   uint64_t Generation_ = 0; ///< Responses to calls of earlier generations are
                             ///< ignored.
-  Time LastSuccess_;        ///< Time of the last successful call.
-  Time LastWatchStart_;     ///< Start of the last watch.
-  Duration Backoff_{0};     ///< Last delay after a failure.
-  bool IsListed_ = false;   ///< Whether the kind was listed.
+  uint64_t UnreadableCount_ = 0;           ///< See getUnreadableCount().
+  std::set<std::string> LoggedUnreadable_; ///< Names that were logged.
+  Time LastSuccess_;           ///< Time of the last successful call.
+  Time LastWatchStart_;        ///< Start of the last watch.
+  Duration Backoff_{0};        ///< Last delay after a failure.
+  bool IsListed_ = false;      ///< Whether the kind was listed.
   bool IsUnavailable_ = false; ///< Whether reads fail at present.
 };
 
