Fix: [Net] The idle timeout that a server names is read whole

Cause: ServerConnection::updateIdleDeadline() kept a view of a temporary string (address sanitizer); Keep-Alive values of more than 15 characters were read from freed memory.

Change: the fields are split directly; several fields, other orders and ";" count as well.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -3,9 +3,11 @@
 
 #include "net/ingress_server_base.h"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -60,6 +62,28 @@
   Socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(Probes), Ignored);
 }
 
+/// \return Time after \p Response during which its connection may be reused.
+Duration getIdleTimeout(const ResponseMessage &Response) {
+  Duration Result = DefaultIdleTimeout;
+  auto [First, End] = Response.equal_range(http::field::keep_alive);
+  for (auto Field = First; Field != End; ++Field) {
+    absl::string_view Value(Field->value().data(), Field->value().size());
+    for (absl::string_view Part :
+         absl::StrSplit(Value, absl::ByAnyChar(",;"))) {
+      std::pair<absl::string_view, absl::string_view> Parameter =
+          absl::StrSplit(Part, absl::MaxSplits('=', 1));
+      int64_t Timeout = 0;
+      if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(Parameter.first),
+                                 "timeout") &&
+          absl::SimpleAtoi(Parameter.second, &Timeout))
+        Result = std::chrono::duration_cast<Duration>(
+            seconds(std::clamp<int64_t>(Timeout, 0, MaxIdleSeconds)) *
+            IdleTimeoutFraction);
+    }
+  }
+  return Result;
+}
+
 } // namespace
 
 ServerConnection::ServerConnection(boost::asio::io_context &IoContext)
@@ -206,17 +230,7 @@
 
 void ServerConnection::updateIdleDeadline(const ResponseMessage &Response) {
   IdleSince_ = getNow();
-  Duration Idle = DefaultIdleTimeout;
-  for (const auto &Token :
-       http::param_list(";" + std::string(Response[http::field::keep_alive]))) {
-    int64_t Timeout = 0;
-    if (Token.first == "timeout" &&
-        absl::SimpleAtoi(std::string(Token.second), &Timeout))
-      Idle = std::chrono::duration_cast<Duration>(
-          seconds(std::clamp<int64_t>(Timeout, 0, MaxIdleSeconds)) *
-          IdleTimeoutFraction);
-  }
-  IdleDeadline_ = IdleSince_ + Idle;
+  IdleDeadline_ = IdleSince_ + getIdleTimeout(Response);
 }
 
 void ServerConnection::completeAttempt(AttemptStatus Status,
--- a/test/unit/steering_connection_test.cpp
+++ b/test/unit/steering_connection_test.cpp
@@ -254,6 +254,27 @@
   CHECK(Server.Connections_ == 3);
 }
 
+// Guards against a request that races with the server's close.
+TEST_CASE("server connection: an idle timeout that the server names is kept") {
+  for (const auto &[Field, IsReused] :
+       {std::pair<std::string, bool>{"Keep-Alive: timeout=0\r\n", false},
+        {"Keep-Alive: max=1000000000000, timeout=0\r\n", false},
+        {"Keep-Alive: timeout=0, max=1000000000000\r\n", false},
+        {"Keep-Alive: max=1000000000000; Timeout = 0\r\n", false},
+        {"Keep-Alive: max=1000000000000\r\nKeep-Alive: timeout=0\r\n", false},
+        {"Keep-Alive: timeout=60, max=1000000000000\r\n", true},
+        {"Keep-Alive: timeout=soon, x-timeout=0\r\n", true}}) {
+    INFO(Field);
+    boost::asio::io_context Loop;
+    ScriptedServer Server(Loop, {{makeResponseBytes("1", "one", Field)},
+                                 {makeResponseBytes("2", "two")}});
+    ConnectionPool Pool(Loop);
+    sendAttempt(Loop, Pool, Server.getEndpoint(), makeSpec("1"));
+    CHECK(sendAttempt(Loop, Pool, Server.getEndpoint(), makeSpec("2"))
+              .IsConnectionReused_ == IsReused);
+  }
+}
+
 TEST_CASE(
     "server connection: a refused connect is reported as a connect reset") {
   boost::asio::io_context Loop;
