--- a/src/platform/decode_func.h
+++ b/src/platform/decode_func.h
@@ -12,6 +12,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cranberry::platform {
@@ -49,7 +50,11 @@
   std::string Zone_;   ///< Client's availability zone.
 };
 
-/// Reads the header fields of a client's request.
+/// \return Whether the platform's protocol defines the header field \p Name.
+bool isPlatformField(std::string_view Name);
+
+/// Reads the header fields of a client's request. The attempt's id is empty if
+/// the request has several.
 ClientRequestInfo decodeClientRequest(const RequestMessage &Request);
 /// Reads the header fields of a server's response.
 ServerResponseInfo decodeServerResponse(const ResponseMessage &Response);
@@ -57,7 +62,7 @@
 /// Reads the API key of a client's request and removes all fields with keys.
 ClientKey takeClientKey(RequestMessage &Request);
 /// Names the workspace of a request for the server, in place of any name that
-/// the client sent.
+/// the client sent, also if "_" is written for "-", as some servers read both.
 /// \param Name Name of the workspace, or empty for none.
 void setWorkspaceName(RequestMessage &Request, const std::string &Name);
 
@@ -95,11 +100,13 @@
                                          Reason &Why);
 
 /// \return The object in the response to a call on a single object, or nothing.
+/// It has no body if only its name and revision can be read.
 std::optional<StoreObject> decodeObjectBody(const std::string &Body,
                                             Reason &Why);
 
 /// \return Objects of a list response, or nothing if \p Body is not one.
-/// Items that can't be decoded are skipped.
+/// Items that can't be decoded are skipped. One whose bytes can't be read has
+/// no body, so that it replaces what was known under its name.
 std::optional<StorePage> decodePage(const std::string &Body, Reason &Why);
 
 /// \return Parameters of a list or watch request, or nothing if \p Target is
@@ -116,7 +123,8 @@
 bool isRenewal(const nlohmann::json &Before, const nlohmann::json &After);
 
 /// \return Changes of a watch response, or nothing if \p Body is not one.
-/// Events that can't be decoded are skipped.
+/// Events that can't be decoded are skipped, or have no body, as in
+/// decodePage().
 std::optional<StoreChanges> decodeChanges(const std::string &Body, Reason &Why);
 
 } // namespace cranberry::platform
