Fix: [Platform] An unreadable entry keeps its name if that holds bytes that aren't UTF-8

Cause: the name of such an entry was read by the strict parser alone, so the entry lost its name (the test 'malformed items of a list page*' failed: 1 object instead of 2). The test passes, with the eight others of lists and odd entries.

--- a/src/platform/decode.cpp
+++ b/src/platform/decode.cpp
@@ -58,7 +58,16 @@
 /// Decodes an object whose bytes can't be read as a whole.
 /// \return The object without a body, or nothing if its name can't be told.
 std::optional<StoreObject> decodeUnreadable(std::string_view Text) {
-  json Object = {{"metadata", findField(Text, "metadata", "specification")}};
+  json Metadata = findField(Text, "metadata", "specification");
+  if (Metadata.is_discarded()) {
+    // The name itself may hold bytes that aren't UTF-8.
+    std::string Plain(Text);
+    std::replace_if(
+        Plain.begin(), Plain.end(),
+        [](unsigned char C) { return !absl::ascii_isprint(C); }, '?');
+    Metadata = findField(Plain, "metadata", "specification");
+  }
+  json Object = {{"metadata", std::move(Metadata)}};
   Reason Skipped;
   return decodeObject(Object, Skipped);
 }
