Fix: [Net] The connection of a request that is given up is reset

Change: a request that ends without its answer resets its connection, by cancel, deadline, hedge, an answer that can't be read or the end of the process; one that was answered ends in order.

Partial: no test with the stand-in's Link yet.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -240,15 +240,28 @@
   AttemptResult Result{Status, std::move(Response), HasCarriedRequest_,
                        std::exchange(ConnectTime_, std::nullopt)};
   HasCarriedRequest_ = true;
-  if (!IsReusable_)
+  if (Status != AttemptStatus::Answered)
+    reset();
+  else if (!IsReusable_)
     close();
   if (Callback)
     Callback(std::move(Result));
 }
 
+void ServerConnection::reset() {
+  error_code Ignored; // Closing in order is the second best.
+  Socket_.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+  OnComplete_ = nullptr;
+  close();
+}
+
 void ServerConnection::close() {
   if (IsClosed_)
     return;
+  if (OnComplete_) {
+    reset();
+    return;
+  }
   IsClosed_ = true;
   IsReusable_ = false;
   OnComplete_ = nullptr;
--- a/src/net/server_connection_base.h
+++ b/src/net/server_connection_base.h
@@ -22,7 +22,7 @@
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
   explicit ServerConnection(boost::asio::io_context &IoContext);
-  ~ServerConnection() { Budget_.update(this, 0); }
+  ~ServerConnection() { close(); }
   ServerConnection(const ServerConnection &) = delete;
   ServerConnection &operator=(const ServerConnection &) = delete;
 
@@ -33,7 +33,8 @@
   /// Sends a request on an idle, reusable connection.
   void send(AttemptSpec Spec, AttemptCallback OnComplete);
 
-  /// Closes the connection. The callback of a request in flight is not called.
+  /// Closes the connection. The callback of a request in flight is not called,
+  /// and what the kernel still holds of that request is lost.
   void close();
 
   /// \return Whether the connection is idle and can carry another request.
@@ -46,6 +47,9 @@
 
 private:
   void startRequest();
+  /// Closes the connection of a request that is given up. After an orderly
+  /// close, the kernel would deliver the request even seconds later.
+  void reset();
   void read();
   void onReadComplete(const boost::system::error_code &Error);
   bool parse();
--- a/test/unit/steering_connection_test.cpp
+++ b/test/unit/steering_connection_test.cpp
@@ -254,6 +254,57 @@
   CHECK(Server.Connections_ == 3);
 }
 
+// Guards against a request that reaches a server after it was given up.
+TEST_CASE("server connection: a request that is given up is reset, others end "
+          "in order") {
+  enum class End { Cancelled, Garbled, Answered };
+  for (End Kind : {End::Cancelled, End::Garbled, End::Answered}) {
+    INFO(static_cast<int>(Kind));
+    boost::asio::io_context Loop;
+    tcp::acceptor Acceptor(
+        Loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    ConnectionPool Pool(Loop);
+    AttemptSpec Spec = makeSpec("1");
+    // More than the kernel takes, unless the response is waited for.
+    constexpr size_t Huge = size_t(64) << 20;
+    if (Kind == End::Cancelled)
+      Spec.Bytes_.append(Huge, 'x');
+    std::optional<AttemptResult> Result;
+    AttemptHandle Handle =
+        Pool.send("server", Acceptor.local_endpoint(), std::move(Spec),
+                  [&](AttemptResult Got) { Result = std::move(Got); });
+    std::optional<tcp::socket> Server;
+    Acceptor.async_accept([&](error_code Error, tcp::socket Socket) {
+      REQUIRE_FALSE(Error);
+      Server.emplace(std::move(Socket));
+    });
+    REQUIRE(runUntil(Loop, [&] { return Server.has_value(); }));
+    REQUIRE(runUntil(Loop, [&] { return Server->available() > 0; }));
+    std::string Received(4096, ' ');
+    REQUIRE(Server->read_some(boost::asio::buffer(Received)) > 0);
+    if (Kind == End::Cancelled)
+      Handle.cancel();
+    else if (Kind == End::Garbled)
+      boost::asio::write(*Server,
+                         boost::asio::buffer(std::string("nonsense\r\n\r\n")));
+    else if (Kind == End::Answered)
+      boost::asio::write(*Server, boost::asio::buffer(makeResponseBytes(
+                                      "1", "one", "Connection: close\r\n")));
+    if (Kind != End::Cancelled)
+      REQUIRE(runUntil(Loop, [&] { return Result.has_value(); }));
+    Loop.restart();
+    Loop.poll();
+    size_t Count = 0;
+    error_code Error;
+    while (!Error && Count < Huge)
+      Count += Server->read_some(boost::asio::buffer(Received), Error);
+    CHECK(Count < Huge);
+    CHECK(Error == (Kind == End::Answered
+                        ? error_code(boost::asio::error::eof)
+                        : error_code(boost::asio::error::connection_reset)));
+  }
+}
+
 // Guards against a request that races with the server's close.
 TEST_CASE("server connection: an idle timeout that the server names is kept") {
   for (const auto &[Field, IsReused] :
