Feature: [Balancer] A standing division of requests among unequal regions

Change: each VM derives from the registered servers and the demand of the regions which share of its region's requests runs where (RegionDivider), and assigns objects to regions by a weighted rendezvous hash. Until the demand is known, zones count alike and all slots as needed; later the heartbeats carry each VM's demand by service. The division holds from the first request on; RegionShiftLimiter lets the first two seconds of a VM follow it, and limits everything after that as before. Requests with homes, and those whose objective is short beside the round trip, stay near.

--- a/src/process/member_type.h
+++ b/src/process/member_type.h
@@ -24,6 +24,12 @@
 inline constexpr const char *MemberStateNames[] = {"alive", "suspect",
                                                    "leaving", "gone"};
 
+/// Demand of one VM's clients for a service.
+struct ServiceDemand {
+  std::string Service_; ///< Name of the service.
+  double Slots_ = 0;    ///< Slots that their requests keep busy.
+};
+
 /// Membership record of one entry VM, published by itself or by a peer that
 /// suspects it.
 struct Member {
@@ -39,6 +45,8 @@
   Revision Revision_ = 0; ///< Revision of the active configuration.
   double Strength_ = 1;   ///< Relative strength, in cores.
   bool IsBusy_ = false;   ///< Whether others should share its clients.
+  /// Demand of its clients, as of its last heartbeat.
+  std::vector<ServiceDemand> Demand_;
 };
 
 /// Snapshot of the members, shared with the threads that serve traffic.
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -179,6 +179,10 @@
     merge(Update, Now);
 }
 
+size_t Membership::getRoundPeriods() const {
+  return (Peers_.size() + Seeds_.size()) / TargetsPerPeriod + 1;
+}
+
 void Membership::updateSenderVersions(const Member &Sender) {
   auto Found = Peers_.find(Sender.Vm_);
   if (Found == Peers_.end() ||
@@ -189,6 +193,7 @@
                 Known.Revision_ != Sender.Revision_;
   Known.KeyEpoch_ = std::max(Known.KeyEpoch_, Sender.KeyEpoch_);
   Known.Revision_ = std::max(Known.Revision_, Sender.Revision_);
+  Known.Demand_ = Sender.Demand_;
 }
 
 void Membership::merge(const Member &Update, Time Now) {
--- a/src/process/membership_base.h
+++ b/src/process/membership_base.h
@@ -68,6 +68,14 @@
   /// Announces whether this VM is busy.
   void setBusy(bool IsBusy);
 
+  /// \return Number of periods in which this VM contacts every peer once.
+  size_t getRoundPeriods() const;
+
+  /// Sets the demand of the clients that heartbeats report.
+  void setDemand(std::vector<ServiceDemand> Demand) {
+    Self_.Demand_ = std::move(Demand);
+  }
+
   /// Sets the configuration revision that heartbeats report; never decreases.
   void setRevision(Revision Value);
 
--- a/src/request/object_placement_base.h
+++ b/src/request/object_placement_base.h
@@ -11,10 +11,18 @@
 
 namespace cranberry {
 
+/// Whether the division among regions assigns an object to a server's region.
+enum class DivisionPlace : uint8_t {
+  Undivided, ///< The request isn't divided.
+  Assigned,  ///< The server is in the assigned region.
+  Elsewhere, ///< Another region is assigned.
+};
+
 /// A server that an object's requests may go to.
 struct PreferredServer {
   ServerState *Server_ = nullptr; ///< The server.
   unsigned Rank_ = 0;             ///< 0 for the first choice in its region.
+  DivisionPlace Division_ = DivisionPlace::Undivided; ///< Place of the server.
 };
 
 /// Determines the servers that an object's requests prefer.
--- a/src/request/region_shift_limiter.cpp
+++ b/src/request/region_shift_limiter.cpp
@@ -20,7 +20,17 @@
   return Regions_.emplace_back(Region{std::string(Name), 0, 0});
 }
 
+void RegionShiftLimiter::endStart() {
+  StartsUntil_ = Time();
+  for (Region &Each : Regions_)
+    if (TotalRequests_ > 0)
+      Each.RecentShare_ =
+          std::max(Each.RecentShare_, Each.Requests_ / TotalRequests_);
+}
+
 void RegionShiftLimiter::advance(Time Now) {
+  if (StartsUntil_ != Time() && Now >= StartsUntil_)
+    endStart();
   while (!Steps_.empty() && Steps_.front().Start_ + Window <= Now) {
     TotalRequests_ -= Steps_.front().TotalRequests_;
     for (size_t I = 0; I < Steps_.front().RequestsByRegion_.size(); ++I)
@@ -47,13 +57,18 @@
   }
 }
 
-bool RegionShiftLimiter::canSendTo(std::string_view RegionName, Time Now) {
+bool RegionShiftLimiter::canSendTo(std::string_view RegionName, Time Now,
+                                   bool IsStanding) {
   if (IsLiftedFromFirst_) {
     IsLiftedFromFirst_ = false;
     recordFailure(Now);
   }
   if (Now < UnlimitedUntil_)
     return true;
+  if (IsStanding && Now - LastStart_ >= GrowthPeriod)
+    StartsUntil_ = Now + GrowthPeriod;
+  if (IsStanding && Now < StartsUntil_)
+    return true;
   advance(Now);
   const Region &To = getRegion(RegionName);
   return (To.Requests_ + 1) / (TotalRequests_ + 1) <=
@@ -80,6 +95,7 @@
   Step &Last = Steps_.back();
   Last.TotalRequests_ += 1;
   TotalRequests_ += 1;
+  LastStart_ = Now;
   if (RegionName.empty())
     return;
   Region &To = getRegion(RegionName);
@@ -89,9 +105,10 @@
   double Share = To.Requests_ / TotalRequests_;
   if (Share <= To.RecentShare_)
     return;
-  if (Now < UnlimitedUntil_ && TotalRequests_ < MinSampleSize)
+  bool IsUnlimited = Now < std::max(UnlimitedUntil_, StartsUntil_);
+  if (IsUnlimited && TotalRequests_ < MinSampleSize)
     return; // One of the first requests alone would be a share of all.
-  if (Now >= UnlimitedUntil_)
+  if (!IsUnlimited)
     AvailableGrowth_ =
         std::max(0.0, AvailableGrowth_ - (Share - To.RecentShare_));
   To.RecentShare_ = Share;
--- a/src/request/region_shift_limiter_base.h
+++ b/src/request/region_shift_limiter_base.h
@@ -38,8 +38,12 @@
   /// would move requests back to a region without room for them.
   void liftFromFirstRequest() { IsLiftedFromFirst_ = true; }
 
+  /// \param IsStanding Whether the request follows the standing division of
+  /// requests among regions. The first requests may follow it without a limit,
+  /// as none ran elsewhere before.
   /// \return Whether one more request may be sent to \p RegionName.
-  bool canSendTo(std::string_view RegionName, Time Now);
+  bool canSendTo(std::string_view RegionName, Time Now,
+                 bool IsStanding = false);
 
   /// \return Whether the share of \p RegionName has fallen by more than the
   /// limit, so that requests should go there even if this region has room.
@@ -63,6 +67,7 @@
 
   Region &getRegion(std::string_view Name);
   void advance(Time Now);
+  void endStart();
 
   /// Period to which the configured maximum growth applies.
   static constexpr Duration GrowthPeriod = seconds(2);
@@ -81,13 +86,16 @@
   /// lifted.
   static constexpr double MinSampleSize = 20;
 
-  double MaxWindowGrowth_ = 0;     ///< Maximum growth of all shares per window.
-  double AvailableGrowth_ = 0;     ///< Growth that is available now.
-  double TotalRequests_ = 0;       ///< All requests within the window.
-  std::deque<Step> Steps_;         ///< Counts within the window, oldest first.
-  std::vector<Region> Regions_;    ///< Regions that requests were sent to.
-  Time Updated_;                   ///< Time of the last update of the window.
-  Time UnlimitedUntil_;            ///< The limit is lifted until then.
+  double MaxWindowGrowth_ = 0;  ///< Maximum growth of all shares per window.
+  double AvailableGrowth_ = 0;  ///< Growth that is available now.
+  double TotalRequests_ = 0;    ///< All requests within the window.
+  std::deque<Step> Steps_;      ///< Counts within the window, oldest first.
+  std::vector<Region> Regions_; ///< Regions that requests were sent to.
+  Time Updated_;                ///< Time of the last update of the window.
+  Time UnlimitedUntil_;         ///< The limit is lifted until then.
+  /// Until then, requests may follow the standing division without a limit.
+  Time StartsUntil_;
+  Time LastStart_;                 ///< Time of the last request.
   bool IsLiftedFromFirst_ = false; ///< See liftFromFirstRequest().
 };
 
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -2,6 +2,7 @@
 #include "request/service_balancer_base.h"
 
 #include "core/duration_func.h"
+#include "request/division_cost_func.h"
 
 #include <algorithm>
 #include <set>
@@ -37,10 +38,6 @@
 /// Value of a response after the objective relative to one within it.
 constexpr double LateValueShare = 0.2;
 
-/// Transfer cost of a request to another zone or region, expressed as latency.
-constexpr Duration OtherZoneCost = milliseconds(25);
-constexpr Duration OtherRegionCost = milliseconds(25);
-
 /// Share of the latency objective after which a request that can't meet it is
 /// refused.
 constexpr double MaxLateWaitShare = 0.4;
@@ -84,6 +81,7 @@
     Usable_.push_back(State.get());
   }
   Placement_.setServers(Usable_);
+  Divider_.setServers(Servers);
   Unlisted_.clear();
   for (const auto &[Id, State] : Servers_)
     if (!Listed.count(Id))
@@ -198,11 +196,7 @@
   Result.RateWait_ = Server.getRateWait(Planned, Now);
   Result.Finish_ = Result.Wait_ + Config.RoundTrip_ +
                    scaleDuration(Work.get(Chance), Factor);
-  Result.Cost_ = Result.Finish_;
-  if (Config.Proximity_ == Proximity::SameRegion)
-    Result.Cost_ += OtherZoneCost;
-  if (Config.Proximity_ == Proximity::OtherRegion)
-    Result.Cost_ += OtherRegionCost;
+  Result.Cost_ = Result.Finish_ + getTransferCost(Config, Where.Division_);
   if (Request.Key_ == 0)
     return Result;
   Duration Saved = Work.MissTime_ - Work.HitTime_;
@@ -237,12 +231,15 @@
                                  const Plan &Planned, Time Now) {
   ServiceTimeEstimate Work = getServiceTime(Request);
   Choice Result;
-  for (const PreferredServer &Where : Servers) {
-    ServerState *Server = Where.Server_;
+  const std::string *Region = Divider_.getRegion(Request);
+  for (const PreferredServer &Each : Servers) {
+    ServerState *Server = Each.Server_;
     const BackendServerConfig &Config = Server->getConfig();
     if (!canUse(Request, Config) || !Server->isAvailable(Now))
       continue;
     bool IsOtherRegion = Config.Proximity_ == Proximity::OtherRegion;
+    PreferredServer Where = rankByDivision(Each, Region);
+    bool IsDivided = Where.Division_ == DivisionPlace::Assigned;
     auto Found = Planned.find(Server);
     Candidate Next = evaluateServer(
         Request, Where, Work, Found == Planned.end() ? 0 : Found->second, Now);
@@ -251,14 +248,16 @@
       Result.Wanted_ = Server;
       Result.WantedCost_ = Cost;
     }
-    if (Request.Key_ != 0 && Where.Rank_ == 0 && !IsOtherRegion)
+    if (Request.Key_ != 0 && Where.Rank_ == 0 &&
+        (!IsOtherRegion ||
+         (IsDivided && ShiftLimiter_.canSendTo(Config.Region_, Now, true))))
       Result.FirstServer_ = Next;
     if (!IsOtherRegion && isCheaper(Next, Result.Best_))
       Result.Best_ = Next;
     if (IsOtherRegion && isCheaper(Next, Result.CheapestOtherRegion_))
       Result.CheapestOtherRegion_ = Next;
     if (IsOtherRegion && isCheaper(Next, Result.BestOtherRegion_) &&
-        ShiftLimiter_.canSendTo(Config.Region_, Now))
+        ShiftLimiter_.canSendTo(Config.Region_, Now, IsDivided))
       Result.BestOtherRegion_ = Next;
     bool IsHarmless =
         Next.Wait_ == Duration(0) && Now + Next.Finish_ <= Request.ObjectiveAt_;
@@ -374,6 +373,7 @@
   removeUnlisted(Now);
   if (Waiting_.empty())
     return Out;
+  Divider_.update(Now);
   sortWaiting(Now);
   Plan Planned;
   std::vector<WaitingRequest> Remaining;
--- a/src/request/service_balancer_base.h
+++ b/src/request/service_balancer_base.h
@@ -3,7 +3,9 @@
 #define CRANBERRY_REQUEST_SERVICE_BALANCER_BASE_H
 
 #include "request/balancer_type.h"
+#include "request/demand_meter_base.h"
 #include "request/object_placement_base.h"
+#include "request/region_divider_base.h"
 #include "request/region_shift_limiter_base.h"
 #include "request/server_state_base.h"
 #include "request/service_time_history_base.h"
@@ -35,6 +37,9 @@
 
   /// Adds a request to the queue.
   void submit(WaitingRequest Request) {
+    Duration Work = getServiceTime(Request).get(FirstServerHitRatio_);
+    Divider_.recordArrival(Request, Work);
+    Demand_.recordArrival(Work, Request.Arrived_);
     Waiting_.push_back(std::move(Request));
   }
 
@@ -80,6 +85,12 @@
 
   const ServiceTimeHistory &getHistory() const { return History_; }
 
+  /// \return Demand of the clients in slots, if known.
+  std::optional<double> getDemand(Time Now) { return Demand_.getDemand(Now); }
+
+  /// \return Division of the requests among the regions.
+  RegionDivider &getDivider() { return Divider_; }
+
 private:
   using ServerMap =
       absl::flat_hash_map<std::string, std::unique_ptr<ServerState>>;
@@ -145,8 +156,10 @@
                     Time Now, std::vector<BalancerAction> &Out);
   void reportSuspects(Time Now, std::vector<BalancerAction> &Out);
 
-  RegionShiftLimiter &ShiftLimiter_;  ///< Limits moves to other regions.
-  ServerMap Servers_;                 ///< All known servers by instance id.
+  RegionShiftLimiter &ShiftLimiter_; ///< Limits moves to other regions.
+  RegionDivider Divider_; ///< Divides the requests among the regions.
+  DemandMeter Demand_;    ///< Demand of this VM's clients.
+  ServerMap Servers_;     ///< All known servers by instance id.
   std::vector<ServerState *> Usable_; ///< Servers that accept requests.
   /// Servers that no longer accept requests but are still needed.
   std::vector<std::string> Unlisted_;
--- a/src/steering/client_flow_type.h
+++ b/src/steering/client_flow_type.h
@@ -20,7 +20,10 @@
 
 /// Balancer of a service and the state to carry out its decisions.
 struct ServicePool {
-  explicit ServicePool(RegionShiftLimiter &Gate) : Balancer_(Gate) {}
+  ServicePool(std::string Name, RegionShiftLimiter &Gate,
+              boost::asio::io_context &Loop)
+      : Name_(std::move(Name)), Balancer_(Gate),
+        StepTimer_(std::make_unique<boost::asio::steady_timer>(Loop)) {}
 
   std::string Name_;         ///< Name of the service.
   ServiceBalancer Balancer_; ///< Places requests on servers.
--- a/src/steering/heartbeat_codec.cpp
+++ b/src/steering/heartbeat_codec.cpp
@@ -3,12 +3,30 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 using nlohmann::json;
 
 namespace cranberry {
 
 namespace {
 
+json encodeDemand(const std::vector<ServiceDemand> &Demand) {
+  json Result = json::object();
+  // Tenths of a slot are exact enough, and short.
+  for (const ServiceDemand &Each : Demand)
+    Result[Each.Service_] = std::llround(Each.Slots_ * 10);
+  return Result;
+}
+
+std::vector<ServiceDemand> decodeDemand(const json &Value) {
+  std::vector<ServiceDemand> Result;
+  for (const auto &[Service, Tenths] : Value.items())
+    Result.push_back({Service, std::max(0.0, Tenths.get<double>() / 10)});
+  return Result;
+}
+
 json encodeMember(const Member &Vm) {
   return {{"vm", Vm.Vm_},
           {"region", Vm.Region_},
@@ -20,7 +38,8 @@
           {"state", static_cast<unsigned>(Vm.State_)},
           {"revision", Vm.Revision_},
           {"strength", Vm.Strength_},
-          {"busy", Vm.IsBusy_}};
+          {"busy", Vm.IsBusy_},
+          {"demand", encodeDemand(Vm.Demand_)}};
 }
 
 Member decodeMember(const json &Value) {
@@ -39,6 +58,8 @@
   // A VM of an earlier release doesn't send these.
   Result.Strength_ = Value.value("strength", Result.Strength_);
   Result.IsBusy_ = Value.value("busy", Result.IsBusy_);
+  if (auto Found = Value.find("demand"); Found != Value.end())
+    Result.Demand_ = decodeDemand(*Found);
   return Result;
 }
 
--- a/src/steering/peer_exchange_base.h
+++ b/src/steering/peer_exchange_base.h
@@ -46,6 +46,16 @@
   /// Announces whether this VM is busy.
   void setBusy(bool IsBusy) { Membership_.setBusy(IsBusy); }
 
+  /// \return Time in which this VM hears from every other one.
+  Duration getRoundLength() const {
+    return Period_ * Membership_.getRoundPeriods();
+  }
+
+  /// Reports the demand of the clients with the next heartbeats.
+  void setDemand(std::vector<ServiceDemand> Demand) {
+    Membership_.setDemand(std::move(Demand));
+  }
+
   /// Announces to all members that this VM is leaving.
   void announceLeave();
 
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -56,9 +56,8 @@
 ServicePool &RequestRouter::getPool(const std::string &Service) {
   std::unique_ptr<ServicePool> &Pool = Pools_[Service];
   if (!Pool) {
-    Pool = std::make_unique<ServicePool>(ShiftGate_);
-    Pool->Name_ = Service;
-    Pool->StepTimer_ = std::make_unique<boost::asio::steady_timer>(Loop_);
+    Pool = std::make_unique<ServicePool>(Service, ShiftGate_, Loop_);
+    applyDivisionSettings(*Pool);
   }
   return *Pool;
 }
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -5,6 +5,7 @@
 #include "daemon/settings_type.h"
 #include "observe/event_log_base.h"
 #include "observe/metrics_base.h"
+#include "process/region_demand_base.h"
 #include "request/weighted_round_robin_base.h"
 #include "steering/attempt_outcome_func.h"
 #include "steering/client_flow_type.h"
@@ -37,9 +38,7 @@
 
   /// Applies changed settings. Settings of servers take effect with the next
   /// call of setServers().
-  void applySettings() {
-    ShiftGate_.setMaxGrowth(ShiftLimitShare * Settings_.MaxRegionShift_);
-  }
+  void applySettings();
 
   /// Routes a client's request and responds to it, now or later.
   void handleRequest(const IngressExchangePtr &Exchange);
@@ -96,9 +95,15 @@
   /// \return Recent maximum of the number of entry VMs that may serve.
   unsigned getVmCount() const { return Locator_.getVmCount(); }
 
-  /// Logs this VM's use of servers that limit their request rate, which adds
-  /// up over all VMs.
-  void logRateUse();
+  /// Logs changes of the divisions of requests among regions, and this VM's use
+  /// of servers that limit their request rate, which adds up over all VMs.
+  void logDecisions();
+
+  /// Divides the requests by the demand that the entry VMs report.
+  /// \param HeartbeatRound Time in which each VM hears from all others.
+  /// \return Demand of this VM's clients.
+  std::vector<ServiceDemand> exchangeDemand(const MemberList &Vms,
+                                            Duration HeartbeatRound);
 
   /// Updates the gauges of the metrics.
   void updateGauges();
@@ -109,6 +114,13 @@
   /// requests.
   static constexpr double ShiftLimitShare = 0.85;
 
+  /// Share of that limit that a change of a division uses. The rest is left for
+  /// requests that avoid queues.
+  static constexpr double DivisionShiftShare = 0.5;
+
+  void applyDivisionSettings(ServicePool &Pool);
+  void logDivision(ServicePool &Pool);
+  void logRateUse();
   ServicePool &getPool(const std::string &Service);
   void reject(const IngressExchangePtr &Exchange, const std::string &Id,
               ResultCode Code, const ClientKey &Key = {});
@@ -165,6 +177,7 @@
       Flows_;                           ///< Requests in flight.
   LeavingHandler OnLeaving_;            ///< See the setter.
   std::function<void()> OnRateLimit_;   ///< See the setter.
+  RegionDemand Demand_;                 ///< Demand of all entry VMs' clients.
   Time ShutdownDeadline_ = Time::max(); ///< Latest deadline during shutdown.
   uint64_t NextFlow_ = 1;               ///< Index of the next flow.
   uint64_t SentBytes_ = 0;              ///< See getTraffic().
--- a/src/steering/request_router_report.cpp
+++ b/src/steering/request_router_report.cpp
@@ -33,6 +33,12 @@
                   {"windowMs", RecentStarts::Window}});
 }
 
+void RequestRouter::logDecisions() {
+  logRateUse();
+  for (auto &[Name, Pool] : Pools_)
+    logDivision(*Pool);
+}
+
 void RequestRouter::updateGauges() {
   Time Now = getNow();
   for (auto &[Name, Pool] : Pools_) {
@@ -49,6 +55,9 @@
         static_cast<double>(Pool->Balancer_.getRateUse(Now).size()));
     Metrics_.setGauge("cranberry_repeat_budget_left", Name,
                       Pool->RetryBudget_.getRemaining(Now));
+    for (const RegionShare &To : Pool->Balancer_.getDivider().getShares())
+      Metrics_.setGauge("cranberry_divided_share", Name + " to " + To.Region_,
+                        To.Share_);
   }
   Metrics_.setGauge("cranberry_open_requests", "all",
                     static_cast<double>(Flows_.size()));
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -23,9 +23,6 @@
 
 namespace {
 
-/// Period of work that isn't triggered by an event.
-constexpr Duration TickPeriod = milliseconds(200);
-
 /// Interval of checks of the settings file. Changes without a signal take
 /// effect within this time.
 constexpr Duration SettingsCheckInterval = seconds(2);
@@ -296,10 +293,11 @@
   updateRouterServers();
   Router_.closeIdleConnections();
   updateLoad();
+  updateDemand();
   Metrics_.observeAge("servers", View_.getServerAge(getNow()));
   if (getNow() >= NextRateLog_) {
     NextRateLog_ = getNow() + RecentStarts::Window;
-    Router_.logRateUse();
+    Router_.logDecisions();
   }
   Log_.flush();
   if (getNow() >= NextSettingsCheck_)
@@ -313,15 +311,6 @@
   });
 }
 
-void SteeringVm::updateLoad() {
-  bool WasBusy = VmLoad_.isBusy();
-  VmLoad_.update(Router_.getTraffic(), TickPeriod, getNow());
-  if (VmLoad_.isBusy() != WasBusy)
-    Log_.write(getNow(), "vm-load",
-               {{"busy", VmLoad_.isBusy() ? 1 : 0}, {"use", VmLoad_.getUse()}});
-  Peers_.setBusy(VmLoad_.isBusy());
-}
-
 void SteeringVm::updateReader() {
   if (!IsReading_)
     return;
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -62,6 +62,7 @@
   void onVmsListed(const std::vector<std::string> &Peers);
   void startReading();
   void updateLoad();
+  void updateDemand();
   void waitForSignal();
   void startShutdown();
   void pollShutdown();
@@ -70,9 +71,13 @@
   void handleLookup(const IngressExchangePtr &Exchange);
   void handleMetrics(const IngressExchangePtr &Exchange);
 
+  /// Period of work that isn't triggered by an event.
+  static constexpr Duration TickPeriod = milliseconds(200);
+
   Settings Settings_;            ///< Settings in force.
   SettingsFile SettingsFile_;    ///< File that is checked for changes.
   Time NextSettingsCheck_;       ///< Time of the next check of the file.
+  Time NextDemandUpdate_;        ///< Time of the next sum of the demand.
   Time NextRateLog_;             ///< Time of the next log of limited servers.
   boost::asio::io_context Loop_; ///< Event loop.
   EventLog Log_;                 ///< Event log.
