Fix: [Balancer] Demand is unknown after a pause, and gossip doesn't carry it

Change: DemandMeter begins anew after 5 s without requests; only the sender's own record carries demand, and merging other records keeps it; a quarter of the limit; gauges of regions without a share are 0.

--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -214,7 +214,11 @@
     return;
   if (IsNew || Known.Member_.State_ != Update.State_)
     Known.StateSince_ = Now;
+  // Only heartbeats of the VM itself tell the demand of its clients.
+  std::vector<ServiceDemand> Demand =
+      Update.Demand_.empty() ? Known.Member_.Demand_ : Update.Demand_;
   Known.Member_ = Update;
+  Known.Member_.Demand_ = std::move(Demand);
   ByAddress_[Update.PeerAddress_] = Update.Vm_;
   if (Known.RetransmitsLeft_ == 0)
     PendingUpdates_.push_back(Update.Vm_);
--- a/src/request/demand_meter_base.h
+++ b/src/request/demand_meter_base.h
@@ -17,15 +17,21 @@
 public:
   /// \param Work Typical time that the request occupies a slot.
   void recordArrival(Duration Work, Time Now) {
-    if (!StartedAt_)
+    // The first requests after a pause would look like little demand.
+    if (!StartedAt_ || Now - LastArrival_ > MaxPause) {
       StartedAt_ = Now;
+      Work_ = 0;
+    }
+    LastArrival_ = std::max(LastArrival_, Now);
     decay(Now);
     Work_ += std::chrono::duration<double>(Work).count();
   }
 
-  /// \return Demand in slots, or std::nullopt before enough is known.
+  /// \return Demand in slots, or std::nullopt before enough is known and
+  /// without requests.
   std::optional<double> getDemand(Time Now) {
-    if (!StartedAt_ || Now - *StartedAt_ < MinObservation)
+    if (!StartedAt_ || Now - *StartedAt_ < MinObservation ||
+        Now - LastArrival_ > MaxPause)
       return std::nullopt;
     decay(Now);
     double Observed = toSeconds(Now - *StartedAt_);
@@ -36,6 +42,9 @@
   /// Time from the first request to the first statement.
   static constexpr Duration MinObservation = seconds(2);
 
+  /// Longest pause between two requests of the same observation.
+  static constexpr Duration MaxPause = seconds(5);
+
 private:
   static double toSeconds(Duration Value) {
     return std::chrono::duration<double>(Value).count();
@@ -51,6 +60,7 @@
 
   double Work_ = 0;               ///< Decaying sum of work, in seconds.
   std::optional<Time> StartedAt_; ///< Time of the first request.
+  Time LastArrival_;              ///< Time of the last request.
   Time UpdatedAt_;                ///< Time of the last decay.
 };
 
--- a/src/steering/heartbeat_codec.cpp
+++ b/src/steering/heartbeat_codec.cpp
@@ -38,8 +38,7 @@
           {"state", static_cast<unsigned>(Vm.State_)},
           {"revision", Vm.Revision_},
           {"strength", Vm.Strength_},
-          {"busy", Vm.IsBusy_},
-          {"demand", encodeDemand(Vm.Demand_)}};
+          {"busy", Vm.IsBusy_}};
 }
 
 Member decodeMember(const json &Value) {
@@ -69,7 +68,10 @@
   json Updates = json::array();
   for (const Member &Vm : Body.Updates_)
     Updates.push_back(encodeMember(Vm));
-  return json{{"sender", encodeMember(Body.Sender_)},
+  json Sender = encodeMember(Body.Sender_);
+  if (!Body.Sender_.Demand_.empty())
+    Sender["demand"] = encodeDemand(Body.Sender_.Demand_);
+  return json{{"sender", Sender},
               {"updates", Updates},
               {"wantsAll", Body.IsFullListRequested_}}
       .dump();
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -116,7 +116,7 @@
 
   /// Share of that limit that a change of a division uses. The rest is left for
   /// requests that avoid queues.
-  static constexpr double DivisionShiftShare = 0.5;
+  static constexpr double DivisionShiftShare = 0.25;
 
   void applyDivisionSettings(ServicePool &Pool);
   void logDivision(ServicePool &Pool);
--- a/src/steering/request_router_report.cpp
+++ b/src/steering/request_router_report.cpp
@@ -55,9 +55,14 @@
         static_cast<double>(Pool->Balancer_.getRateUse(Now).size()));
     Metrics_.setGauge("cranberry_repeat_budget_left", Name,
                       Pool->RetryBudget_.getRemaining(Now));
+    std::map<std::string, double> Shares;
+    for (const auto &[Zone, Region] : Settings_.Zones_)
+      Shares[Region] = 0;
     for (const RegionShare &To : Pool->Balancer_.getDivider().getShares())
-      Metrics_.setGauge("cranberry_divided_share", Name + " to " + To.Region_,
-                        To.Share_);
+      Shares[To.Region_] = To.Share_;
+    for (const auto &[Region, Share] : Shares)
+      Metrics_.setGauge("cranberry_divided_share", Name + " to " + Region,
+                        Share);
   }
   Metrics_.setGauge("cranberry_open_requests", "all",
                     static_cast<double>(Flows_.size()));
