--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -179,6 +179,10 @@
     merge(Update, Now);
 }
 
+size_t Membership::getRoundPeriods() const {
+  return (Peers_.size() + Seeds_.size()) / TargetsPerPeriod + 1;
+}
+
 void Membership::updateSenderVersions(const Member &Sender) {
   auto Found = Peers_.find(Sender.Vm_);
   if (Found == Peers_.end() ||
@@ -189,6 +193,7 @@
                 Known.Revision_ != Sender.Revision_;
   Known.KeyEpoch_ = std::max(Known.KeyEpoch_, Sender.KeyEpoch_);
   Known.Revision_ = std::max(Known.Revision_, Sender.Revision_);
+  Known.Demand_ = Sender.Demand_;
 }
 
 void Membership::merge(const Member &Update, Time Now) {
@@ -209,7 +214,11 @@
     return;
   if (IsNew || Known.Member_.State_ != Update.State_)
     Known.StateSince_ = Now;
+  // Only heartbeats of the VM itself tell the demand of its clients.
+  std::vector<ServiceDemand> Demand =
+      Update.Demand_.empty() ? Known.Member_.Demand_ : Update.Demand_;
   Known.Member_ = Update;
+  Known.Member_.Demand_ = std::move(Demand);
   ByAddress_[Update.PeerAddress_] = Update.Vm_;
   if (Known.RetransmitsLeft_ == 0)
     PendingUpdates_.push_back(Update.Vm_);
--- a/src/steering/heartbeat_codec.cpp
+++ b/src/steering/heartbeat_codec.cpp
@@ -3,12 +3,30 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 using nlohmann::json;
 
 namespace cranberry {
 
 namespace {
 
+json encodeDemand(const std::vector<ServiceDemand> &Demand) {
+  json Result = json::object();
+  // Tenths of a slot are exact enough, and short.
+  for (const ServiceDemand &Each : Demand)
+    Result[Each.Service_] = std::llround(Each.Slots_ * 10);
+  return Result;
+}
+
+std::vector<ServiceDemand> decodeDemand(const json &Value) {
+  std::vector<ServiceDemand> Result;
+  for (const auto &[Service, Tenths] : Value.items())
+    Result.push_back({Service, std::max(0.0, Tenths.get<double>() / 10)});
+  return Result;
+}
+
 json encodeMember(const Member &Vm) {
   return {{"vm", Vm.Vm_},
           {"region", Vm.Region_},
@@ -39,6 +57,8 @@
   // A VM of an earlier release doesn't send these.
   Result.Strength_ = Value.value("strength", Result.Strength_);
   Result.IsBusy_ = Value.value("busy", Result.IsBusy_);
+  if (auto Found = Value.find("demand"); Found != Value.end())
+    Result.Demand_ = decodeDemand(*Found);
   return Result;
 }
 
@@ -48,7 +68,10 @@
   json Updates = json::array();
   for (const Member &Vm : Body.Updates_)
     Updates.push_back(encodeMember(Vm));
-  return json{{"sender", encodeMember(Body.Sender_)},
+  json Sender = encodeMember(Body.Sender_);
+  if (!Body.Sender_.Demand_.empty())
+    Sender["demand"] = encodeDemand(Body.Sender_.Demand_);
+  return json{{"sender", Sender},
               {"updates", Updates},
               {"wantsAll", Body.IsFullListRequested_}}
       .dump();
