Feature: [Process] Whole starts at cold servers, divided without messages

Cause: a cold server's rate was divided evenly among the VMs of its zone.

Change: if the even share is below one start, the whole starts are divided among the VMs that the look-ups name to the zone's clients. All VMs with the same members divide alike; a VM that has disappeared keeps its part for the same 15 s as before. Even shares of one start or more stay as they are. The selection of those VMs moves from the look-ups to process/client_vms.

--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -24,18 +24,6 @@
 /// Limits the size of a heartbeat.
 constexpr size_t MaxUpdatesPerHeartbeat = 32;
 
-/// FNV-1a hash with a final mix. Unlike std::hash, it has the same value on
-/// every entry VM.
-uint64_t hashText(const std::string &Text) {
-  uint64_t Hash = 0xcbf29ce484222325ULL;
-  for (unsigned char C : Text)
-    Hash = (Hash ^ C) * 0x100000001b3ULL;
-  // FNV-1a disperses short strings poorly; fold the high bits into the low
-  // ones.
-  Hash ^= Hash >> 32;
-  return Hash * 0x9e3779b97f4a7c15ULL;
-}
-
 /// \return Whether record \p A supersedes record \p B of the same member.
 bool isNewer(const Member &A, const Member &B) {
   auto Key = [](const Member &M) {
@@ -46,6 +34,16 @@
 
 } // namespace
 
+uint64_t hashText(const std::string &Text) {
+  uint64_t Hash = 0xcbf29ce484222325ULL;
+  for (unsigned char C : Text)
+    Hash = (Hash ^ C) * 0x100000001b3ULL;
+  // FNV-1a disperses short strings poorly; fold the high bits into the low
+  // ones.
+  Hash ^= Hash >> 32;
+  return Hash * 0x9e3779b97f4a7c15ULL;
+}
+
 Membership::Membership(Member Self, std::vector<std::string> Seeds,
                        uint64_t Seed)
     : Self_(std::move(Self)), Seeds_(Seeds.begin(), Seeds.end()),
--- a/src/process/membership_base.h
+++ b/src/process/membership_base.h
@@ -123,6 +123,10 @@
   bool HasChanged_ = true;                ///< See testAndClearChanged().
 };
 
+/// FNV-1a hash with a final mix. Unlike std::hash, it has the same value on
+/// every entry VM.
+uint64_t hashText(const std::string &Text);
+
 /// Selects the owner of a key by rendezvous hashing, so that the removal of a
 /// candidate moves only the keys that it owned.
 /// \param Candidates Names; their order does not affect which one is selected.
--- a/src/process/peak_count_base.h
+++ b/src/process/peak_count_base.h
@@ -11,6 +11,9 @@
 /// same servers would each claim the shares of the VMs that they can't see.
 class PeakCount {
 public:
+  /// Exceeds most network partitions in the benchmarks, which last up to 10 s.
+  static constexpr Duration HoldTime = seconds(15);
+
   /// Adds a sample.
   /// \return The held peak; at least \p Value.
   unsigned update(unsigned Value, Time Now) {
@@ -22,9 +25,6 @@
   }
 
 private:
-  /// Exceeds most network partitions in the benchmarks, which last up to 10 s.
-  static constexpr Duration HoldTime = seconds(15);
-
   unsigned Peak_ = 0; ///< Largest sample since the peak was last reset.
   Time PeakExpiry_;   ///< End of the hold time.
 };
--- a/src/steering/lookup_directory.cpp
+++ b/src/steering/lookup_directory.cpp
@@ -10,21 +10,6 @@
 
 using VmGroup = std::vector<const Member *>;
 
-/// Keeps the strongest VMs, until MinVmsPerZone of them are not busy.
-void keepStrongest(VmGroup &Group) {
-  std::sort(Group.begin(), Group.end(), [](const Member *A, const Member *B) {
-    return A->Strength_ != B->Strength_ ? A->Strength_ > B->Strength_
-                                        : A->Vm_ < B->Vm_;
-  });
-  size_t Idle = 0;
-  auto Last = std::find_if(Group.begin(), Group.end(), [&](const Member *Vm) {
-    Idle += Vm->IsBusy_ ? 0 : 1;
-    return Idle >= MinVmsPerZone;
-  });
-  if (Last != Group.end())
-    Group.erase(Last + 1, Group.end());
-}
-
 } // namespace
 
 std::vector<std::string> selectLookupAddresses(const MemberList &Vms,
@@ -44,7 +29,7 @@
       Group = SameRegion;
     Groups[Group].push_back(&Vm);
   }
-  keepStrongest(Groups[SameZone]);
+  keepClientVms(Groups[SameZone]);
   std::vector<std::string> Result;
   for (const VmGroup &Group : Groups) {
     for (const Member *Vm : Group)
--- a/src/steering/lookup_directory_func.h
+++ b/src/steering/lookup_directory_func.h
@@ -2,6 +2,7 @@
 #ifndef CRANBERRY_STEERING_LOOKUP_DIRECTORY_FUNC_H
 #define CRANBERRY_STEERING_LOOKUP_DIRECTORY_FUNC_H
 
+#include "process/client_vms_func.h"
 #include "process/member_type.h"
 
 #include <string>
@@ -12,10 +13,6 @@
 /// Maximum number of entry VMs in a look-up response.
 inline constexpr size_t MaxLookupAddresses = 64;
 
-/// Number of entry VMs of a zone that serve its clients while they aren't busy.
-/// A second one takes over when the first fails.
-inline constexpr size_t MinVmsPerZone = 2;
-
 /// Selects the entry VMs for a client.
 ///
 /// The fewer VMs send to a server, the better each of them knows its load and
--- a/src/steering/server_locator.cpp
+++ b/src/steering/server_locator.cpp
@@ -79,6 +79,7 @@
   for (auto &[Region, Same] : VmsByRegion_)
     Same.Count_ = Same.Peak_.update(InRegion[Region], Now);
   AllVms_.Count_ = AllVms_.Peak_.update(static_cast<unsigned>(Vms.size()), Now);
+  ColdStarts_.setMembers(Vms, Now);
 }
 
 double ServerLocator::getColdRateShare(const ServerRecord &Record) const {
@@ -98,6 +99,16 @@
   return 1.0 / std::max(1U, AllVms_.Count_);
 }
 
+double ServerLocator::getColdStartRate(const ServerRecord &Record,
+                                       double AllVms) const {
+  double Even = AllVms * getColdRateShare(Record);
+  // A VM that may start less than one request in a window starts none at all.
+  if (Even <= 0 || Even >= 1)
+    return Even;
+  return ColdStarts_.getStarts(Settings_.Vm_, Record.InstanceId_, Record.Zone_,
+                               getRegion(Record.Zone_), AllVms);
+}
+
 BackendServerConfig
 ServerLocator::makeBalancedServer(const UsableServer &Server,
                                   const RoutingConfig *Config) const {
@@ -116,8 +127,8 @@
     return Result;
   for (const BackendServiceConfig &Service : Config->Services_)
     if (Service.Name_ == Record.Service_)
-      Result.ColdStartRate_ = Service.ColdRate_ * Settings_.ColdBurstFactor_ *
-                              getColdRateShare(Record);
+      Result.ColdStartRate_ = getColdStartRate(
+          Record, Service.ColdRate_ * Settings_.ColdBurstFactor_);
   return Result;
 }
 
--- a/src/steering/server_locator_base.h
+++ b/src/steering/server_locator_base.h
@@ -3,6 +3,7 @@
 #define CRANBERRY_STEERING_SERVER_LOCATOR_BASE_H
 
 #include "daemon/settings_type.h"
+#include "process/cold_start_division_base.h"
 #include "process/member_type.h"
 #include "process/peak_count_base.h"
 #include "request/balancer_type.h"
@@ -57,12 +58,14 @@
   };
 
   double getColdRateShare(const ServerRecord &Record) const;
+  double getColdStartRate(const ServerRecord &Record, double AllVms) const;
 
   const Settings &Settings_;                 ///< Zones, and this VM's location.
   Time ProcessStart_;                        ///< Start time of this process.
   std::map<std::string, VmGroup> VmsByZone_; ///< Entry VMs by zone.
   std::map<std::string, VmGroup> VmsByRegion_; ///< Entry VMs by region.
   VmGroup AllVms_;                             ///< All entry VMs.
+  ColdStartDivision ColdStarts_; ///< Used for shares below one start.
   std::map<std::string, Duration>
       RoundTripByRegion_; ///< Measured, by other region.
 };
