Fix: [Request] A refusal corrects the server's load, not its speed

Cause: a refusal counted like a failure, which divides the predicted time by the share of attempts that end well. The response of a server that turns away half of its requests was predicted at twice its time; the requests that it did serve then looked fast, and its slowness sank to 0.5, which took the price of its refusals away again and made it too attractive afterwards. And the load that a refusal tells moved the estimate only half of the way, so that the same full server was tried again on an idea that was known to be wrong.

Change: a refusal's load report replaces the estimate, which then decays as before; refusals raise the cost of a server, not the predicted time.

--- a/src/request/server_state.cpp
+++ b/src/request/server_state.cpp
@@ -22,6 +22,9 @@
 constexpr double MaxSlowness = 8;
 constexpr double MinSlowness = 0.5;
 
+/// Least share of attempts that a server is expected to serve.
+constexpr double MinSuccessShare = 0.2;
+
 /// How long reported interference counts; bursts last a few hundred
 /// milliseconds.
 constexpr Duration InterferenceWindow = milliseconds(300);
@@ -50,6 +53,7 @@
     RateLimiter_.reset();
     Slowness_ = 1;
     FailureShare_ = 0;
+    RefusalShare_ = 0;
     BackoffUntil_ = Time();
     UnwantedUntil_ = Time();
     BackoffDelay_ = Duration(0);
@@ -101,13 +105,19 @@
   Attempt Done = *Found;
   Attempts_.erase(Found);
   if (Ended.Load_)
-    recordLoad(*Ended.Load_, Now);
+    recordLoad(
+        *Ended.Load_,
+        Ended.Outcome_ == ServerAttemptOutcome::Refused ? 1 : OtherVmLoadGain,
+        Now);
   if (Ended.RetryAfter_)
     UnwantedUntil_ = std::max(UnwantedUntil_, Now + *Ended.RetryAfter_);
   ServerAttemptOutcome Verdict = Ended.Outcome_;
-  bool IsFailure = Verdict != ServerAttemptOutcome::Served;
-  if (Verdict != ServerAttemptOutcome::Withdrawn)
+  bool IsRefusal = Verdict == ServerAttemptOutcome::Refused;
+  bool IsFailure = !IsRefusal && Verdict != ServerAttemptOutcome::Served;
+  if (Verdict != ServerAttemptOutcome::Withdrawn) {
     FailureShare_ += ((IsFailure ? 1 : 0) - FailureShare_) * FailureGain;
+    RefusalShare_ += ((IsRefusal ? 1 : 0) - RefusalShare_) * FailureGain;
+  }
   switch (Verdict) {
   case ServerAttemptOutcome::Served:
   case ServerAttemptOutcome::Failed:
@@ -142,11 +152,11 @@
   IsProbing_ = true;
 }
 
-void ServerState::recordLoad(const LoadReport &Load, Time Now) {
+void ServerState::recordLoad(const LoadReport &Load, double Gain, Time Now) {
   double OtherLoad = static_cast<double>(Load.Running_ + Load.Queued_) -
                      static_cast<double>(Attempts_.size());
   OtherVmLoad_ = getOtherVmLoad(Now);
-  OtherVmLoad_ += (std::max(0.0, OtherLoad) - OtherVmLoad_) * OtherVmLoadGain;
+  OtherVmLoad_ += (std::max(0.0, OtherLoad) - OtherVmLoad_) * Gain;
   LoadReportedAt_ = Now;
   Interference_ = Load.Interference_;
 }
@@ -161,8 +171,13 @@
   return static_cast<double>(Attempts_.size()) + getOtherVmLoad(Now);
 }
 
+double ServerState::getRefusalFactor() const {
+  return std::max(MinSuccessShare, 1 - FailureShare_) /
+         std::max(MinSuccessShare, 1 - FailureShare_ - RefusalShare_);
+}
+
 double ServerState::getSlowness(Time Now) const {
-  double Result = Slowness_ / std::max(0.2, 1 - FailureShare_);
+  double Result = Slowness_ / std::max(MinSuccessShare, 1 - FailureShare_);
   if (Now - LoadReportedAt_ < InterferenceWindow)
     Result *= std::max(1.0, Interference_);
   return Result;
--- a/src/request/server_state_base.h
+++ b/src/request/server_state_base.h
@@ -73,6 +73,11 @@
 
   Duration getLoadReportAge(Time Now) const { return Now - LoadReportedAt_; }
 
+  /// \return Factor on the cost of the server for the attempts that it refuses.
+  /// A refusal costs a round trip and a retry, but doesn't delay a request that
+  /// is served, so that it is no part of getSlowness().
+  double getRefusalFactor() const;
+
   /// \return Expected service time, relative to the usual.
   double getSlowness(Time Now) const;
 
@@ -115,7 +120,8 @@
     bool IsReported_ = false;      ///< Whether takeSuspects() has returned it.
   };
 
-  void recordLoad(const LoadReport &Load, Time Now);
+  /// \param Gain Weight of the report; 1 replaces the estimate.
+  void recordLoad(const LoadReport &Load, double Gain, Time Now);
   ServiceTimeSample recordServed(const Attempt &Done, Duration Ran,
                                  const ServiceTimeEstimate &Work);
   void startBackoff(Time Now);
@@ -131,6 +137,7 @@
   double Interference_ = 1;  ///< Interference in the last load report.
   double Slowness_ = 1;      ///< Smoothed ratio of actual to expected time.
   double FailureShare_ = 0;  ///< Smoothed share of attempts that failed.
+  double RefusalShare_ = 0;  ///< Smoothed share of attempts that were refused.
   Time LastResponse_;        ///< Time of the last response of any kind.
   Time BackoffUntil_;        ///< End of the backoff.
   Time UnwantedUntil_;       ///< See wantsNoRequests().
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -196,9 +196,10 @@
   Result.PreferenceRank_ = Where.Rank_;
   Result.Wait_ = Server.getExpectedWait(Planned, Now);
   Result.RateWait_ = Server.getRateWait(Planned, Now);
-  Result.Finish_ = Result.Wait_ + Config.RoundTrip_ +
-                   scaleDuration(Work.get(Chance), Factor);
-  Result.Cost_ = Result.Finish_;
+  Duration Service = scaleDuration(Work.get(Chance), Factor);
+  Result.Finish_ = Result.Wait_ + Config.RoundTrip_ + Service;
+  Result.Cost_ =
+      Result.Finish_ + scaleDuration(Service, Server.getRefusalFactor() - 1);
   if (Config.Proximity_ == Proximity::SameRegion)
     Result.Cost_ += OtherZoneCost;
   if (Config.Proximity_ == Proximity::OtherRegion)
