--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -185,18 +185,18 @@
     const ServiceTimeEstimate &Work, unsigned Planned, Time Now) const {
   ServerState &Server = *Where.Server_;
   const BackendServerConfig &Config = Server.getConfig();
-  double Factor = Server.getSlowness(Now);
-  if (Server.isCold(Now))
-    Factor *= ColdServerFactor;
+  double Factor =
+      Server.getSlowness(Now) * (Server.isCold(Now) ? ColdServerFactor : 1);
   double Chance = getHitProbability(Where, Request.Key_);
   Candidate Result;
   Result.Server_ = &Server;
   Result.PreferenceRank_ = Where.Rank_;
   Result.Wait_ = Server.getExpectedWait(Planned, Now);
   Result.RateWait_ = Server.getRateWait(Planned, Now);
-  Result.Finish_ = Result.Wait_ + Config.RoundTrip_ +
-                   scaleDuration(Work.get(Chance), Factor);
-  Result.Cost_ = Result.Finish_ + getTransferCost(Config, Where.Division_);
+  Duration Service = scaleDuration(Work.get(Chance), Factor);
+  Result.Finish_ = Result.Wait_ + Config.RoundTrip_ + Service;
+  Result.Cost_ = Result.Finish_ + getTransferCost(Config, Where.Division_) +
+                 scaleDuration(Service, Server.getRefusalFactor() - 1);
   if (Request.Key_ == 0)
     return Result;
   Duration Saved = Work.MissTime_ - Work.HitTime_;
