Fix: [Store] A VM that changes its source asks only for what it doesn't know

A zone's VMs do so at once, at one VM: its link is full for seconds, lists and heartbeats time out, VMs are suspected, the order of the readers changes, and all list again.

Change: at another VM a follower goes on with a watch from its revision; a relay whose history starts later answers 410, and only then it lists. A store that is silent no longer holds the watches of configuration and evacuations up. At the store it lists as before.

--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -69,14 +69,24 @@
   requestList();
 }
 
-void StoreFollower::setRelay(platform::StoreClient *Relay, bool CanRestart) {
+void StoreFollower::resume() {
+  pause();
+  // A list of all servers at once takes a weak VM's link for seconds if a whole
+  // zone asks for it.
+  if (Relay_ && IsListed_)
+    requestWatch();
+  else
+    requestList();
+}
+
+void StoreFollower::setRelay(platform::StoreClient *Relay, bool CanResume) {
   bool WasRelayed = Relay_ != nullptr;
   if (Relay_ == Relay)
     return;
   Relay_ = Relay;
   // A call to the store may complete; a call to a relay has to be abandoned.
-  if (WasRelayed && CanRestart)
-    restart();
+  if (WasRelayed && CanResume)
+    resume();
 }
 
 platform::StoreClient &StoreFollower::selectClient() {
@@ -240,7 +250,7 @@
   if (Handlers_.IsPutOff_ && Handlers_.IsPutOff_())
     scheduleAfter(MaxBackoffRefused, &StoreFollower::retryList);
   else
-    requestList();
+    resume();
 }
 
 void StoreFollower::recordSuccess() {
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -64,7 +64,12 @@
   /// unnoticed, the connection of this call may be lost as well.
   void restart();
 
-  /// Makes no calls and ignores the one in flight, until restart().
+  /// Ignores the call in flight and goes on from the known revision at a relay,
+  /// which has the history since it started. At the store it lists again.
+  void resume();
+
+  /// Makes no calls and ignores the one in flight, until restart() or
+  /// resume().
   void pause();
 
   /// \param Pace Minimum interval between two watches.
@@ -76,9 +81,9 @@
   /// Sends calls to another entry VM from the next one on, or to the store if
   /// \p Relay is null. After a failed call to the relay, the owner has to
   /// select the source.
-  /// \param CanRestart Whether to list at once if a call to the relay before
-  /// has to be abandoned. Otherwise restart() has to follow.
-  void setRelay(platform::StoreClient *Relay, bool CanRestart = true);
+  /// \param CanResume Whether to resume at once if a call to the relay before
+  /// has to be abandoned. Otherwise resume() has to follow.
+  void setRelay(platform::StoreClient *Relay, bool CanResume = true);
 
   /// \return Objects read so far.
   const StoreCache &getCache() const { return Cache_; }
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -120,12 +120,16 @@
     Next = std::make_unique<platform::StoreClient>(Loop_, Peer,
                                                    platform::RelayTimeouts);
   bool IsPaused = Source == StoreSource::None;
+  // Calls to a store that doesn't answer would end long after the other VM has
+  // told of a change.
+  bool IsStoreLost =
+      Source == StoreSource::Vm && ServerFollower_.isUnavailable();
   for (StoreFollower *Each : getFollowers()) {
     if (IsPaused)
       Each->pause();
-    Each->setRelay(Next.get(), !WasPaused && !IsPaused);
-    if (WasPaused && !IsPaused)
-      Each->restart();
+    Each->setRelay(Next.get(), !WasPaused && !IsPaused && !IsStoreLost);
+    if ((WasPaused || IsStoreLost) && !IsPaused)
+      Each->resume();
   }
   ReaderClient_ = std::move(Next);
   if (Source != StoreSource::Store)
@@ -211,8 +215,8 @@
   Result.OnRecovered_ = [this] {
     Registry_.onStoreRestored(getNow());
     // The others may wait on connections that were lost unnoticed.
-    ConfigFollower_.restart();
-    EvacuationFollower_.restart();
+    ConfigFollower_.resume();
+    EvacuationFollower_.resume();
   };
   return Result;
 }
--- a/test/unit/store_relay_test.cpp
+++ b/test/unit/store_relay_test.cpp
@@ -64,7 +64,9 @@
 
   FollowHandlers makeHandlers(Known &Target, bool IsReader) {
     FollowHandlers Handlers;
-    Handlers.OnList_ = [&Target](const std::vector<StoreObject> &All) {
+    Handlers.OnList_ = [this, &Target,
+                        IsReader](const std::vector<StoreObject> &All) {
+      Lists_ += IsReader ? 0 : 1;
       Target.clear();
       for (const StoreObject &Each : All)
         Target[Each.Name_] = Each.Body_;
@@ -123,6 +125,7 @@
   Known Known_;                   ///< Objects at the other VM.
   bool IsFresh_ = true;           ///< Whether the reader has fresh data.
   int RelayFailures_ = 0;         ///< Calls of OnRelayFailed_.
+  unsigned Lists_ = 0;            ///< Lists that the other VM has received.
   StoreFollower Reader_;          ///< The reader's follower.
   StoreRelay Relay_;              ///< The reader's relay.
   IngressServer RelayServer_;     ///< Serves the relay.
@@ -265,6 +268,41 @@
   CHECK(F.RelayFailures_ == 1);
 }
 
+// Guards against zones whose VMs all list the servers at once when they change
+// their source, which fills the links of weak VMs for seconds.
+TEST_CASE("relay: a VM that changes its source asks only for what is new") {
+  Fixture F;
+  F.startBoth();
+  F.RelayedFollower_.pause();
+  F.Store_.put("things", "c", 3);
+  REQUIRE(F.runUntil([&] { return F.ReaderKnown_.contains("c"); }));
+  unsigned Before = F.Lists_;
+  platform::StoreClient Other(F.Loop_, F.RelayServer_.getAddress(),
+                              platform::RelayTimeouts);
+  F.RelayedFollower_.setRelay(&Other);
+  REQUIRE(F.runUntil([&] { return F.Known_.contains("c"); }));
+  CHECK(F.Lists_ == Before);
+  CHECK(F.Known_ == Fixture::Known{{"a", 1}, {"b", 2}, {"c", 3}});
+  // A relay whose history starts later has to be listed.
+  F.RelayedFollower_.pause();
+  F.Store_.put("things", "d", 4);
+  F.Store_.remove("things", "b");
+  Fixture::Known Unused;
+  StoreFollower Late(F.Loop_, F.StoreClient_,
+                     {"things", Duration(0), seconds(5)},
+                     F.makeHandlers(Unused, true), F.Log_);
+  Late.start();
+  REQUIRE(F.runUntil([&] { return Unused.contains("d"); }));
+  F.Relay_.addKind("things", Late);
+  F.RelayedFollower_.setRelay(F.RelayClient_.get());
+  CHECK(F.runUntil([&] {
+    return F.Known_ == Fixture::Known{{"a", 1}, {"c", 3}, {"d", 4}};
+  }));
+  CHECK(F.Lists_ == Before + 1);
+  CHECK(F.RelayFailures_ == 0);
+  F.RelayedFollower_.pause();
+}
+
 TEST_CASE("relay: an unreachable reader is given up for the store at once") {
   Fixture F;
   F.startBoth();
