Fix: [Store] A reader that the store refuses relays what a reader of another zone reads

Cause: a refused reader answered 503, so all 20 to 25 VMs of its zone changed to the next one, which first had to read the store and may be refused as well, then to the next, then to four of other zones; each began to call the store. And a VM left a source that answered because others suspected it for a late heartbeat.

Change: a VM that can't read the store follows the first reader of another zone (its region first) before the next ones of its own, and relays what it hears; the VMs behind it stay. A relayed response carries the age of the data, which adds up along the way; servers older than 0.75 of the drain bound aren't relayed. A VM that can't read the store accepts only a VM that reads it itself (direct=1), so no two follow each other. A source that answers is kept while others suspect it.

--- a/src/platform/decode.cpp
+++ b/src/platform/decode.cpp
@@ -295,6 +295,7 @@
     return Result;
   std::map<std::string, std::string> Query =
       parseQuery(std::string_view(Target).substr(Mark + 1));
+  Result.IsDirect_ = Query.contains("direct");
   auto From = Query.find("watch");
   if (From == Query.end())
     return Result;
--- a/src/platform/decode_fields.cpp
+++ b/src/platform/decode_fields.cpp
@@ -159,4 +159,8 @@
   Response.set(header::Era, std::to_string(Era));
 }
 
+void setRelayAge(ResponseMessage &Response, Duration Age) {
+  Response.set(header::RelayAge, std::to_string(toMilliseconds(Age)));
+}
+
 } // namespace cranberry::platform
--- a/src/platform/decode_func.h
+++ b/src/platform/decode_func.h
@@ -86,6 +86,9 @@
 /// Sets the era of a response that relays objects of the store.
 void setEra(ResponseMessage &Response, StoreEra Era);
 
+/// Sets the time since the objects of such a response were read from the store.
+void setRelayAge(ResponseMessage &Response, Duration Age);
+
 /// Decodes the routing configuration.
 /// \param[out] Why Invalid field and reason, if there is no result.
 std::optional<RoutingConfig> decodeRouting(const StoreObject &Object,
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 using nlohmann::json;
@@ -50,6 +51,17 @@
   return std::nullopt;
 }
 
+/// Longest age that is believed, so that sums don't overflow.
+constexpr int64_t MaxAgeMs = 3600000;
+
+Duration decodeAge(const HttpResult &Result) {
+  for (const auto &[Name, Value] : Result.Headers_)
+    if (int64_t Age = 0;
+        Name == header::RelayAge && absl::SimpleAtoi(Value, &Age))
+      return milliseconds(std::clamp<int64_t>(Age, 0, MaxAgeMs));
+  return Duration(0);
+}
+
 json makeObject(const std::string &Name, const json &Body) {
   return {{"metadata", {{"name", Name}, {"finalizers", json::array()}}},
           {"specification", Body}};
@@ -70,7 +82,10 @@
     Separator = '&';
   }
   if (Mode == ReadMode::MayBeStale)
-    absl::StrAppend(&Target, std::string(1, Separator), "staleRead=1");
+    absl::StrAppend(&Target, std::string(1, std::exchange(Separator, '&')),
+                    "staleRead=1");
+  if (IsDirectRequired_)
+    absl::StrAppend(&Target, std::string(1, Separator), "direct=1");
   sendRequest("GET", Target, "", Timeouts_.Call_, std::move(End));
 }
 
@@ -78,7 +93,8 @@
                         StoreResponseHandler End) {
   sendRequest("GET",
               absl::StrCat(path::Objects, Kind, "?watch=", After,
-                           "&waitMs=", toMilliseconds(Wait)),
+                           "&waitMs=", toMilliseconds(Wait),
+                           IsDirectRequired_ ? "&direct=1" : ""),
               "", Wait + Timeouts_.WatchMargin_, std::move(End));
 }
 
@@ -118,12 +134,14 @@
   Call.MaxIdleTime_ = MaxIdleTime;
   Client_.startCall(std::move(Call), [End = std::move(End)](HttpResult Result) {
     if (Result.Code_ != ResultCode::Ok) {
-      End({StoreStatus::NoResponse, "", std::move(Result.ErrorText_), {}});
+      End({StoreStatus::NoResponse, "", std::move(Result.ErrorText_), {}, {}});
       return;
     }
     auto Code = static_cast<unsigned>(Result.Status_);
     std::optional<StoreEra> Era = decodeEra(Result);
-    End({getStatus(Code), std::move(Result.Body_), std::to_string(Code), Era});
+    Duration Age = decodeAge(Result);
+    End({getStatus(Code), std::move(Result.Body_), std::to_string(Code), Era,
+         Age});
   });
 }
 
--- a/src/platform/store_client_base.h
+++ b/src/platform/store_client_base.h
@@ -17,6 +17,8 @@
   std::string Body_;            ///< Response body, for any status.
   std::string ErrorText_;       ///< Readable reason, if not Ok.
   std::optional<StoreEra> Era_; ///< Era of the response, if known.
+  /// Time since a VM that relays the objects has read them from the store.
+  Duration Age_{0};
 };
 
 /// Timeouts of calls.
@@ -53,6 +55,10 @@
   StoreClient(boost::asio::io_context &Loop, std::string Address,
               const StoreCallTimeouts &Limits);
 
+  /// \param IsRequired Whether only a VM that reads the store itself may
+  /// respond to the next lists and watches.
+  void requireDirect(bool IsRequired) { IsDirectRequired_ = IsRequired; }
+
   /// Lists objects of a kind.
   /// \param After Lists only names after this one; empty for the first page.
   /// \param Mode Age that the data may have.
@@ -85,10 +91,11 @@
                    std::string Body, Duration Timeout,
                    StoreResponseHandler End);
 
-  std::string Address_;        ///< Address of the store.
-  StoreCallTimeouts Timeouts_; ///< Timeouts of the calls.
-  HttpClient Client_;          ///< Connections to the store.
-  uint64_t CallCount_ = 0;     ///< Number of calls made.
+  std::string Address_;           ///< Address of the store.
+  StoreCallTimeouts Timeouts_;    ///< Timeouts of the calls.
+  HttpClient Client_;             ///< Connections to the store.
+  uint64_t CallCount_ = 0;        ///< Number of calls made.
+  bool IsDirectRequired_ = false; ///< See requireDirect().
 };
 
 } // namespace cranberry::platform
--- a/src/platform/store_type.h
+++ b/src/platform/store_type.h
@@ -53,6 +53,8 @@
   std::string Kind_;                  ///< Kind of objects.
   std::optional<Revision> WatchFrom_; ///< Unset for a list.
   Duration Wait_{0};                  ///< Longest wait of a watch.
+  /// Whether only a VM that reads the store itself may respond.
+  bool IsDirect_ = false;
 };
 
 /// Status of a call to the store.
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -23,6 +23,9 @@
 /// Set by the store: increases each time that it is restored from a copy.
 /// Lower case, as the HTTP client reports names that way.
 inline constexpr const char *Era = "store-era";
+/// Set by a VM that relays objects: milliseconds since they were read from the
+/// store. Lower case as well.
+inline constexpr const char *RelayAge = "relay-age";
 inline constexpr const char *NotExecuted = "X-Cranberrypost-Not-Executed";
 inline constexpr const char *Instance = "X-Cranberrypost-Instance-Id";
 /// Name of the workspace that sent a request; set by this system only.
--- a/src/process/store_reader.cpp
+++ b/src/process/store_reader.cpp
@@ -41,10 +41,12 @@
 
 /// Selects a reader of another zone. Those that probably read the store anyway
 /// come first: the first of each zone, then the second ones.
+/// \param MaxRank Number of readers of each zone that may be selected.
 /// \return The reader, or null if all have failed.
 const Member *selectReaderOfOtherZone(const MemberList &Members,
                                       const Member &Self,
-                                      const FailedReaders &Failed) {
+                                      const FailedReaders &Failed,
+                                      size_t MaxRank = MaxReadersPerZone) {
   std::set<std::string> Zones;
   for (const Member &Vm : Members)
     if (Vm.Zone_ != Self.Zone_)
@@ -52,8 +54,8 @@
   std::vector<std::vector<const Member *>> ByZone;
   ByZone.reserve(Zones.size());
   for (const std::string &Zone : Zones)
-    ByZone.push_back(selectFirstVms(Members, Zone, MaxReadersPerZone));
-  for (size_t Rank = 0; Rank < MaxReadersPerZone; ++Rank) {
+    ByZone.push_back(selectFirstVms(Members, Zone, MaxRank));
+  for (size_t Rank = 0; Rank < MaxRank; ++Rank) {
     std::set<std::string> Candidates;
     for (const std::vector<const Member *> &Readers : ByZone)
       if (Rank < Readers.size() && !hasFailed(*Readers[Rank], Failed))
@@ -71,6 +73,17 @@
   return nullptr;
 }
 
+/// \param InOrder First VMs of the zone of \p Self.
+/// \return Whether a VM has asked enough others than the readers of its zone in
+/// vain.
+bool haveOthersFailed(const std::vector<const Member *> &InOrder,
+                      const FailedReaders &Failed) {
+  size_t OthersFailed = Failed.Silent_.size() + Failed.Behind_.size();
+  for (size_t I = 0; I < std::min(InOrder.size(), MaxReadersPerZone); ++I)
+    OthersFailed -= hasFailed(*InOrder[I], Failed) ? 1 : 0;
+  return OthersFailed >= MaxOthersAsked;
+}
+
 /// Selects a substitute for the readers of a zone, all of which have failed.
 /// \return The source, or std::nullopt if enough others have failed as well.
 std::optional<StoreSourceChoice> selectSubstitute(const MemberList &Members,
@@ -79,10 +92,7 @@
                                                   const FailedReaders &Failed) {
   std::vector<const Member *> InOrder =
       selectFirstVms(Members, Self.Zone_, MaxReadersPerZone + MaxOthersAsked);
-  size_t OthersFailed = Failed.Silent_.size() + Failed.Behind_.size();
-  for (size_t I = 0; I < std::min(InOrder.size(), MaxReadersPerZone); ++I)
-    OthersFailed -= hasFailed(*InOrder[I], Failed) ? 1 : 0;
-  if (OthersFailed >= MaxOthersAsked)
+  if (haveOthersFailed(InOrder, Failed))
     return std::nullopt;
   if (const Member *Reader = selectReaderOfOtherZone(Members, Self, Failed))
     return StoreSourceChoice{StoreSource::Vm, Reader, true};
@@ -103,8 +113,14 @@
                                     const FailedReaders &Failed) {
   bool IsReader = false;
   bool IsAnyBehind = false;
-  for (const Member *Reader :
-       selectFirstVms(Members, Self.Zone_, MaxReadersPerZone)) {
+  std::vector<const Member *> Readers =
+      selectFirstVms(Members, Self.Zone_, MaxReadersPerZone);
+  // A reader of another zone has the updates already, whereas the next one of
+  // this zone would first have to read the store, which may refuse it as well.
+  if (IsStoreLost && !haveOthersFailed(Readers, Failed))
+    if (const Member *Other = selectReaderOfOtherZone(Members, Self, Failed, 1))
+      return {StoreSource::Vm, Other, true};
+  for (const Member *Reader : Readers) {
     if (Reader->Vm_ == Self.Vm_) {
       IsReader = true;
       if (!IsStoreLost)
--- a/src/process/store_reader_func.h
+++ b/src/process/store_reader_func.h
@@ -44,6 +44,10 @@
 /// changes follows a reader of another zone, or, with few other zones, one of
 /// the next VMs in the order, which then reads the store. So the number of VMs
 /// that call a troubled store doesn't grow with the fleet.
+///
+/// A reader that the store refuses follows the first reader of another zone and
+/// relays what that one reads, so that the other VMs of its zone needn't change
+/// their source.
 /// \param IsStoreLost Whether \p Self can't read the store.
 /// \param Failed VMs that \p Self has asked in vain.
 /// \return The source. If all VMs that may be asked have failed, it is the
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -5,7 +5,6 @@
 #include "net/http_message_func.h"
 #include "platform/decode_func.h"
 #include "platform/wire_names.h"
-#include "process/store_reader_func.h"
 #include "steering/lookup_directory_func.h"
 
 #include <absl/strings/str_join.h>
@@ -24,44 +23,16 @@
 namespace {
 
 /// Period of work that isn't triggered by an event.
-constexpr Duration TickPeriod = milliseconds(200);
+constexpr Duration TickPeriod = StoreSourceSelector::Period;
 
 /// Interval of checks of the settings file. Changes without a signal take
 /// effect within this time.
 constexpr Duration SettingsCheckInterval = seconds(2);
 
-/// After a VM gave no answer as a source of store updates, others are used for
-/// this long. By then it is suspect or has recovered.
-constexpr Duration SilentReaderDelay = seconds(3);
-
-/// If no other VM could read the store, they are asked again after this time.
-constexpr Duration BehindReaderDelay = seconds(1);
-
-/// The same if updates come from a substitute. Each attempt interrupts them.
-constexpr Duration SubstituteDuration = seconds(10);
-
-/// Longest time in which all VMs that may be asked answer that they can't read
-/// the store.
-constexpr Duration MaxAskDuration = seconds(2);
-
-/// Mean interval between attempts at the store by any of the VMs of a zone
-/// whose readers can't read it.
-constexpr Duration ProbeInterval = seconds(1);
-
-/// How long a VM reads the store in such an attempt.
-constexpr Duration ProbeDuration = seconds(2);
-
-/// A VM reads the store for this long after another one has asked it to.
-constexpr Duration ReaderWantedDuration = seconds(5);
-
 /// A VM that has started waits this long for contact with another one, from
 /// which it can read what the store holds.
 constexpr Duration ContactWait = milliseconds(400);
 
-/// A VM that can't read the store follows another one for this long before it
-/// tries the store again. Each attempt takes up to a second without updates.
-constexpr Duration FallbackReaderDuration = seconds(10);
-
 /// Delay between two attempts to write this VM's entry.
 constexpr Duration AnnounceRetryDelay = milliseconds(300);
 
@@ -104,7 +75,7 @@
                    onVmsListed(Peers);
                  }),
       TickTimer_(Loop_), AnnounceTimer_(Loop_), StartTimer_(Loop_),
-      Random_(Incarnation), Signals_(Loop_, SIGTERM, SIGINT, SIGHUP) {
+      Sources_(Incarnation), Signals_(Loop_, SIGTERM, SIGINT, SIGHUP) {
   Log_.setMaxLinesPerSecond(Settings_.LogLinesPerSecond_);
   if (!Settings_.IsFirstStart_)
     Router_.liftShiftLimit();
@@ -150,17 +121,11 @@
       announce();
   };
   Result.OnReaderFailed_ = [this](const std::string &Peer, bool IsBehind) {
-    Time Now = getNow();
-    if (IsBehind) {
-      BehindReaders_.insert(Peer);
-      LastBehindTime_ = Now;
-    } else {
-      SilentReaders_[Peer] = Now + SilentReaderDelay;
-    }
+    Sources_.recordFailure(Peer, IsBehind, getNow());
     updateReader();
   };
   Result.OnReaderWanted_ = [this] {
-    ReaderWantedUntil_ = getNow() + ReaderWantedDuration;
+    Sources_.recordRequest(getNow());
     if (View_.getSource() != StoreSource::Store)
       updateReader();
   };
@@ -323,57 +288,9 @@
 }
 
 void SteeringVm::updateReader() {
-  if (!IsReading_)
-    return;
-  Time Now = getNow();
-  if (View_.isStoreUnavailable()) {
-    FallbackReaderUntil_ = Now + FallbackReaderDuration;
-  } else if (View_.getSource() == StoreSource::Store) {
-    FallbackReaderUntil_ = Time();
-    LastStoreReadTime_ = Now;
-  }
-  forgetFailedReaders(Now);
-  const MemberList Vms = Peers_.getMembers();
-  StoreSourceChoice Choice = selectSource(Vms, Now);
-  // Some VMs may be able to read the store although the readers can't.
-  bool CanRead =
-      !View_.isStoreUnavailable() && Now - LastStoreReadTime_ < MaxAskDuration;
-  if (Choice.Source_ == StoreSource::None && (CanRead || drawProbe(Vms))) {
-    Choice = {StoreSource::Store, nullptr, true};
-    ReaderWantedUntil_ = Now + ProbeDuration;
-  }
-  HasSubstitute_ = Choice.IsSubstitute_;
-  View_.setSource(Choice.Source_,
-                  Choice.Vm_ ? Choice.Vm_->PeerAddress_ : std::string());
-}
-
-void SteeringVm::forgetFailedReaders(Time Now) {
-  std::erase_if(SilentReaders_,
-                [Now](const auto &Entry) { return Entry.second <= Now; });
-  Duration Delay = HasSubstitute_ ? SubstituteDuration : BehindReaderDelay;
-  if (Now - LastBehindTime_ >= Delay)
-    BehindReaders_.clear();
-}
-
-StoreSourceChoice SteeringVm::selectSource(const MemberList &Vms, Time Now) {
-  bool IsStoreLost = Now < FallbackReaderUntil_;
-  if (!IsStoreLost && Now < ReaderWantedUntil_)
-    return {StoreSource::Store, nullptr, HasSubstitute_};
-  FailedReaders Failed;
-  for (const auto &[Peer, Until] : SilentReaders_)
-    Failed.Silent_.insert(Peer);
-  Failed.Behind_ = BehindReaders_;
-  return selectStoreSource(Vms, Peers_.getSelf(), IsStoreLost, Failed);
-}
-
-bool SteeringVm::drawProbe(const MemberList &Vms) {
-  auto InZone = static_cast<double>(
-      std::count_if(Vms.begin(), Vms.end(), [this](const Member &Vm) {
-        return Vm.Zone_ == Settings_.Zone_;
-      }));
-  double Calls = static_cast<double>(ProbeInterval / TickPeriod);
-  return std::bernoulli_distribution(1 /
-                                     (Calls * std::max(InZone, 1.0)))(Random_);
+  if (IsReading_)
+    View_.setSource(Sources_.select(Peers_.getMembers(), Peers_.getSelf(),
+                                    View_.getSourceStatus(), getNow()));
 }
 
 void SteeringVm::reloadSettings() {
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -7,6 +7,7 @@
 #include "observe/event_log_base.h"
 #include "observe/metrics_base.h"
 #include "platform/store_client_base.h"
+#include "process/store_source_selector_base.h"
 #include "steering/peer_exchange_base.h"
 #include "steering/rate_share_exchange_base.h"
 #include "steering/request_router_base.h"
@@ -18,9 +19,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <map>
-#include <random>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -56,9 +54,6 @@
   void tick();
   void reloadSettings();
   void updateReader();
-  void forgetFailedReaders(Time Now);
-  StoreSourceChoice selectSource(const MemberList &Vms, Time Now);
-  bool drawProbe(const MemberList &Vms);
   void onVmsListed(const std::vector<std::string> &Peers);
   void startReading();
   void updateLoad();
@@ -91,23 +86,12 @@
   boost::asio::steady_timer TickTimer_;     ///< Timer of periodic work.
   boost::asio::steady_timer AnnounceTimer_; ///< Timer of the next registration.
   boost::asio::steady_timer StartTimer_;    ///< Ends the wait for contact.
-  std::map<std::string, Time>
-      SilentReaders_; ///< VMs that gave no answer, by peer address, and until
-                      ///< when others are used.
-  std::set<std::string> BehindReaders_; ///< VMs that can't read the store.
-  Time LastBehindTime_;                 ///< When one was added to them.
-  bool HasSubstitute_ = false; ///< Whether updates come from another source
-                               ///< than the zone's readers.
-  Time LastStoreReadTime_;     ///< When the store was last the source and
-                               ///< could be read.
-  Time ReaderWantedUntil_;     ///< Reads the store until then.
-  bool IsReading_ = false;     ///< Whether store updates are read.
-  std::mt19937_64 Random_;     ///< Draws attempts at the store.
-  boost::asio::signal_set Signals_;     ///< Shutdown and reload.
+  StoreSourceSelector Sources_;     ///< Selects the source of store updates.
+  bool IsReading_ = false;          ///< Whether store updates are read.
+  boost::asio::signal_set Signals_; ///< Shutdown and reload.
   uint64_t AppliedRegistryVersion_ = 0; ///< Last version passed to the router.
   size_t MemberCount_ = 0;        ///< Number of entry VMs at the last change.
   bool HasMembersChanged_ = true; ///< Whether the router has an old list.
-  Time FallbackReaderUntil_;      ///< Until then, read from any other VM.
   bool IsStopping_ = false;       ///< Whether a graceful shutdown has begun.
   Time ShutdownDeadline_;         ///< Latest end of the graceful shutdown.
 };
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -137,7 +137,7 @@
     requestList();
     return;
   }
-  recordSuccess();
+  recordSuccess(Reply.Age_);
   takeEra();
   IsListed_ = true;
   std::vector<platform::StoreObject> Objects;
@@ -181,7 +181,7 @@
   if (Reply.Status_ == StoreStatus::HistoryGone || IsOtherEra) {
     Log_.write(getNow(), "store-history-gone",
                {{"kind", Options_.Kind_}, {"revision", Revision_}});
-    recordSuccess();
+    recordSuccess(Reply.Age_);
     requestList();
     return;
   }
@@ -196,7 +196,7 @@
     handleFailure(StoreStatus::Malformed, Why.Field_ + " " + Why.Message_);
     return;
   }
-  recordSuccess();
+  recordSuccess(Reply.Age_);
   logUnreadable(Changes->Unreadable_);
   Revision_ = std::max(Revision_, Changes->Revision_);
   Cache_.applyChanges(*Changes);
@@ -253,9 +253,9 @@
     resume();
 }
 
-void StoreFollower::recordSuccess() {
+void StoreFollower::recordSuccess(Duration Age) {
   Backoff_ = Duration(0);
-  LastSuccess_ = getNow();
+  LastSuccess_ = std::max(LastSuccess_, getNow() - Age);
   if (!IsUnavailable_)
     return;
   IsUnavailable_ = false;
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -97,7 +97,8 @@
   /// \return Number of entries read so far whose bytes can't be read.
   uint64_t getUnreadableCount() const { return UnreadableCount_; }
 
-  /// \return Time since the last successful call.
+  /// \return Time since what is known was read from the store, by this VM or by
+  /// the one that it follows.
   Duration getAge(Time Now) const { return Now - LastSuccess_; }
 
   /// \return Revision up to which changes are known, within getEra().
@@ -116,7 +117,7 @@
   void takeEra();
   void logUnreadable(const std::vector<std::string> &Names);
   void handleFailure(platform::StoreStatus Status, const std::string &Text);
-  void recordSuccess();
+  void recordSuccess(Duration Age);
   platform::StoreResponseHandler makeResponseHandler(
       void (StoreFollower::*Take)(const platform::StoreResponse &));
   void scheduleAfter(Duration Wait, void (StoreFollower::*Next)());
@@ -138,7 +139,7 @@
                             ///< ignored.
   uint64_t UnreadableCount_ = 0;           ///< See getUnreadableCount().
   std::set<std::string> LoggedUnreadable_; ///< Names that were logged.
-  Time LastSuccess_;           ///< Time of the last successful call.
+  Time LastSuccess_;           ///< Time at which the store was last read.
   Time LastWatchStart_;        ///< Start of the last watch.
   Duration Backoff_{0};        ///< Last delay after a failure.
   bool IsListed_ = false;      ///< Whether the kind was listed.
--- a/src/steering/store_relay.cpp
+++ b/src/steering/store_relay.cpp
@@ -5,6 +5,7 @@
 #include "platform/decode_func.h"
 
 #include <algorithm>
+#include <utility>
 
 using boost::system::error_code;
 
@@ -26,8 +27,7 @@
 
 } // namespace
 
-StoreRelay::StoreRelay(boost::asio::io_context &Loop,
-                       std::function<RelayState()> GetState)
+StoreRelay::StoreRelay(boost::asio::io_context &Loop, StateQuery GetState)
     : Loop_(Loop), GetState_(std::move(GetState)) {}
 
 void StoreRelay::handleRequest(const IngressExchangePtr &Exchange) {
@@ -38,9 +38,10 @@
     return;
   }
   bool IsList = !Question->WatchFrom_;
-  if (RelayState State = GetState_(); State != RelayState::Fresh) {
+  if (RelayState State = GetState_(Question->IsDirect_);
+      State != RelayState::Fresh) {
     if (IsList && State == RelayState::Pending)
-      holdList(Exchange, Question->Kind_);
+      holdList(Exchange, *Question);
     else
       Exchange->respond(makeResponse(Unavailable, ""));
     return;
@@ -52,7 +53,8 @@
   auto Waiting = std::make_shared<PendingWatch>(
       PendingWatch{Exchange, Question->Kind_,
                    Followers_.at(Question->Kind_)->getCache().getEra(),
-                   *Question->WatchFrom_, boost::asio::steady_timer(Loop_)});
+                   *Question->WatchFrom_, Question->IsDirect_,
+                   boost::asio::steady_timer(Loop_)});
   if (tryRespondToWatch(*Waiting, false))
     return;
   PendingWatches_.push_back(Waiting);
@@ -68,9 +70,10 @@
 }
 
 void StoreRelay::holdList(const IngressExchangePtr &Exchange,
-                          const std::string &Kind) {
+                          const platform::StoreQuery &Question) {
   auto Waiting = std::make_shared<PendingList>(
-      PendingList{Exchange, Kind, boost::asio::steady_timer(Loop_)});
+      PendingList{Exchange, Question.Kind_, Question.IsDirect_,
+                  boost::asio::steady_timer(Loop_)});
   PendingLists_.push_back(Waiting);
   Waiting->WaitTimer_.expires_after(MaxListWait);
   Waiting->WaitTimer_.async_wait(
@@ -84,10 +87,12 @@
 }
 
 void StoreRelay::respond(const IngressExchangePtr &Exchange,
-                         const StoreCache &Cache, unsigned Status,
-                         const std::string &Body) {
+                         const std::string &Kind, unsigned Status,
+                         const std::string &Body) const {
   ResponseMessage Response = makeResponse(Status, Body, "application/json");
-  platform::setEra(Response, Cache.getEra());
+  const StoreFollower &Follower = *Followers_.at(Kind);
+  platform::setEra(Response, Follower.getCache().getEra());
+  platform::setRelayAge(Response, Follower.getAge(getNow()));
   Exchange->respond(Response);
 }
 
@@ -100,7 +105,7 @@
   if (!IsCurrent)
     Known = {Cache.getEra(), Cache.getRevision(),
              platform::encodePage(Cache.getPage())};
-  respond(Exchange, Cache, Ok, Known.Text_);
+  respond(Exchange, Kind, Ok, Known.Text_);
 }
 
 bool StoreRelay::tryRespondToWatch(const PendingWatch &Waiting, bool IsOver) {
@@ -110,43 +115,44 @@
   std::optional<platform::StoreChanges> Changes =
       Cache.getChangesSince(Waiting.KnownRevision_);
   if (!Changes || Cache.getEra() != Waiting.Era_) {
-    respond(Waiting.Exchange_, Cache, HistoryGone, "");
+    respond(Waiting.Exchange_, Waiting.Kind_, HistoryGone, "");
     return true;
   }
   if (Changes->Changes_.empty() && !IsOver)
     return false;
-  if (GetState_() == RelayState::Fresh)
-    respond(Waiting.Exchange_, Cache, Ok, platform::encodeChanges(*Changes));
+  if (GetState_(Waiting.IsDirect_) == RelayState::Fresh)
+    respond(Waiting.Exchange_, Waiting.Kind_, Ok,
+            platform::encodeChanges(*Changes));
   else
     Waiting.Exchange_->respond(makeResponse(Unavailable, ""));
   return true;
 }
 
 void StoreRelay::notifyWatches(const std::string &Kind) {
-  if (!PendingLists_.empty() && GetState_() == RelayState::Fresh) {
-    std::vector<ListPtr> Lists;
-    Lists.swap(PendingLists_);
-    for (const ListPtr &Each : Lists)
+  std::vector<ListPtr> Lists;
+  Lists.swap(PendingLists_);
+  for (const ListPtr &Each : Lists)
+    if (GetState_(Each->IsDirect_) == RelayState::Fresh)
       sendPage(Each->Exchange_, Each->Kind_);
-  }
+    else
+      PendingLists_.push_back(Each);
   std::erase_if(PendingWatches_, [&](const WatchPtr &Waiting) {
     return Waiting->Kind_ == Kind && tryRespondToWatch(*Waiting, false);
   });
 }
 
-void StoreRelay::refuseLists() {
-  std::vector<ListPtr> Lists;
-  Lists.swap(PendingLists_);
-  for (const ListPtr &Each : Lists)
-    Each->Exchange_->respond(makeResponse(Unavailable, ""));
-}
-
-void StoreRelay::refuseAll() {
-  refuseLists();
-  std::vector<WatchPtr> Watches;
-  Watches.swap(PendingWatches_);
-  for (const WatchPtr &Each : Watches)
-    Each->Exchange_->respond(makeResponse(Unavailable, ""));
+void StoreRelay::refuseUnavailable() {
+  // A response may make its connection pass on the next request at once.
+  auto Refuse = [this](auto &Pending) {
+    auto Taken = std::exchange(Pending, {});
+    for (const auto &Each : Taken)
+      if (GetState_(Each->IsDirect_) == RelayState::Unavailable)
+        Each->Exchange_->respond(makeResponse(Unavailable, ""));
+      else
+        Pending.push_back(Each);
+  };
+  Refuse(PendingLists_);
+  Refuse(PendingWatches_);
 }
 
 } // namespace cranberry
--- a/src/steering/store_relay_base.h
+++ b/src/steering/store_relay_base.h
@@ -28,9 +28,12 @@
 /// changes.
 class StoreRelay {
 public:
-  /// \param GetState State of this VM's objects.
-  StoreRelay(boost::asio::io_context &Loop,
-             std::function<RelayState()> GetState);
+  /// \param IsDirect Whether only objects that this VM reads from the store
+  /// itself will do.
+  /// \return State of this VM's objects.
+  using StateQuery = std::function<RelayState(bool IsDirect)>;
+
+  StoreRelay(boost::asio::io_context &Loop, StateQuery GetState);
 
   /// Relays the objects that \p Follower reads.
   /// \param Kind Kind of \p Follower's objects.
@@ -45,12 +48,9 @@
   /// Responds to the watches on \p Kind for which there are changes.
   void notifyWatches(const std::string &Kind);
 
-  /// Refuses the lists that wait, as the objects can't be read. Their callers
-  /// then turn to another VM at once.
-  void refuseLists();
-
-  /// Refuses the lists and the watches that wait.
-  void refuseAll();
+  /// Refuses the lists and the watches that wait for objects which aren't to be
+  /// had any more. Their callers then turn to another VM at once.
+  void refuseUnavailable();
 
 private:
   /// A watch that waits for changes.
@@ -59,6 +59,7 @@
     std::string Kind_;                    ///< Kind of objects.
     platform::StoreEra Era_ = 0;          ///< Era at the start of the watch.
     Revision KnownRevision_ = 0;          ///< Revision that the caller knows.
+    bool IsDirect_ = false;               ///< See StateQuery.
     boost::asio::steady_timer WaitTimer_; ///< Expires at the end of the wait.
   };
   /// Shared, as the timer's handler may be queued when the watch gets its
@@ -69,6 +70,7 @@
   struct PendingList {
     IngressExchangePtr Exchange_;         ///< Connection for the response.
     std::string Kind_;                    ///< Kind of objects.
+    bool IsDirect_ = false;               ///< See StateQuery.
     boost::asio::steady_timer WaitTimer_; ///< Expires at the end of the wait.
   };
   using ListPtr = std::shared_ptr<PendingList>;
@@ -80,17 +82,17 @@
     std::string Text_;           ///< Encoded list.
   };
 
-  void holdList(const IngressExchangePtr &Exchange, const std::string &Kind);
-  static void respond(const IngressExchangePtr &Exchange,
-                      const StoreCache &Cache, unsigned Status,
-                      const std::string &Body);
+  void holdList(const IngressExchangePtr &Exchange,
+                const platform::StoreQuery &Question);
+  void respond(const IngressExchangePtr &Exchange, const std::string &Kind,
+               unsigned Status, const std::string &Body) const;
   void sendPage(const IngressExchangePtr &Exchange, const std::string &Kind);
   /// Responds to a watch if there are changes or its wait has ended.
   /// \return Whether the watch is complete.
   bool tryRespondToWatch(const PendingWatch &Waiting, bool IsOver);
 
-  boost::asio::io_context &Loop_;        ///< Event loop.
-  std::function<RelayState()> GetState_; ///< State of this VM's objects.
+  boost::asio::io_context &Loop_; ///< Event loop.
+  StateQuery GetState_;           ///< State of this VM's objects.
   std::map<std::string, const StoreFollower *> Followers_; ///< By kind.
   std::vector<WatchPtr> PendingWatches_;     ///< Watches that wait for changes.
   std::vector<ListPtr> PendingLists_;        ///< Lists that wait.
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -44,6 +44,11 @@
 /// the minimum interval between two watches on servers.
 constexpr double FreshAgeMarginShare = 0.14;
 
+/// Maximum age of relayed servers that come from another VM, as a share of the
+/// same time. That VM's watch adds its wait; the rest is for the VMs behind
+/// this one to change their source.
+constexpr double RelayedAgeShare = 0.75;
+
 } // namespace
 
 StoreView::StoreView(boost::asio::io_context &Loop,
@@ -62,7 +67,7 @@
                           {platform::kind::Evacuations, Duration(0),
                            OperatorWatchWait, OperatorRelayWait},
                           makeEvacuationHandlers(), Log),
-      Relay_(Loop, [this] { return getRelayState(); }) {
+      Relay_(Loop, [this](bool IsDirect) { return getRelayState(IsDirect); }) {
   Relay_.addKind(platform::kind::Config, ConfigFollower_);
   Relay_.addKind(platform::kind::Servers, ServerFollower_);
   Relay_.addKind(platform::kind::Evacuations, EvacuationFollower_);
@@ -77,6 +82,7 @@
   MaxAge_ = Config.ServerDrain_;
   MaxFreshAge_ = scaleDuration(Config.ServerDrain_,
                                ServerWatchIntervalShare + FreshAgeMarginShare);
+  MaxRelayedAge_ = scaleDuration(Config.ServerDrain_, RelayedAgeShare);
 }
 
 void StoreView::addRelayHandlers(const std::string &Kind,
@@ -86,27 +92,35 @@
                                    const std::string &Text) {
     onRelayFailed(Status, Text);
   };
-  Handlers.OnUnavailable_ = [this] { Relay_.refuseLists(); };
+  Handlers.OnUnavailable_ = [this] { Relay_.refuseUnavailable(); };
 }
 
-RelayState StoreView::getRelayState() const {
+RelayState StoreView::getRelayState(bool IsDirect) const {
   // A VM that starts is about to select its source.
   bool IsStarting = Source_ == StoreSource::None && !isComplete();
   bool IsReading = (Source_ == StoreSource::Store || IsStarting) &&
                    !ConfigFollower_.isUnavailable() &&
                    !ServerFollower_.isUnavailable() &&
                    !EvacuationFollower_.isUnavailable();
-  if (!IsReading)
-    return RelayState::Unavailable;
-  bool IsFresh = !IsStarting && ConfigFollower_.isListed() &&
-                 Registry_.isLoaded() && EvacuationFollower_.isListed() &&
-                 ServerFollower_.getAge(getNow()) <= MaxFreshAge_;
-  return IsFresh ? RelayState::Fresh : RelayState::Pending;
+  bool IsListed = ConfigFollower_.isListed() && Registry_.isLoaded() &&
+                  EvacuationFollower_.isListed();
+  Duration Age = ServerFollower_.getAge(getNow());
+  bool IsFresh = IsReading && !IsStarting && IsListed && Age <= MaxFreshAge_;
+  // What this VM hears from another one is good for those that read the store
+  // neither, within the age that it has there. A VM that can't read the store
+  // itself doesn't accept it, or two of them could follow each other.
+  if (IsFresh || (!IsDirect && IsListed && Age <= MaxRelayedAge_))
+    return RelayState::Fresh;
+  return IsReading ? RelayState::Pending : RelayState::Unavailable;
 }
 
-void StoreView::setSource(StoreSource Source, const std::string &Peer) {
-  if (Source == Source_ && Peer == Reader_)
+void StoreView::setSource(const StoreSourceTarget &Target) {
+  auto [Source, Peer, IsDirect] = Target;
+  if (Source == Source_ && Peer == Reader_) {
+    if (ReaderClient_)
+      ReaderClient_->requireDirect(IsDirect);
     return;
+  }
   Log_.write(getNow(), "reader",
              {{"source", StoreSourceNames[static_cast<size_t>(Source)]},
               {"peer", Peer},
@@ -119,6 +133,8 @@
   if (Source == StoreSource::Vm)
     Next = std::make_unique<platform::StoreClient>(Loop_, Peer,
                                                    platform::RelayTimeouts);
+  if (Next)
+    Next->requireDirect(IsDirect);
   bool IsPaused = Source == StoreSource::None;
   // Calls to a store that doesn't answer would end long after the other VM has
   // told of a change.
@@ -133,7 +149,7 @@
   }
   ReaderClient_ = std::move(Next);
   if (Source != StoreSource::Store)
-    Relay_.refuseAll();
+    Relay_.refuseUnavailable();
 }
 
 void StoreView::onRelayFailed(platform::StoreStatus Status,
@@ -150,7 +166,7 @@
   // the client destroyed, later.
   boost::asio::post(Loop_, [this, Failed, Status] {
     if (Source_ == StoreSource::Vm && Reader_ == Failed) {
-      setSource(StoreSource::None, "");
+      setSource({StoreSource::None, "", false});
       Handlers_.OnReaderFailed_(Failed,
                                 Status != platform::StoreStatus::NoResponse);
     }
@@ -206,7 +222,7 @@
   };
   Result.OnUnavailable_ = [this] {
     Registry_.onStoreLost();
-    Relay_.refuseLists();
+    Relay_.refuseUnavailable();
   };
   Result.OnNewEra_ = [this] {
     Registry_.onStoreRolledBack(getNow());
--- a/src/steering/store_view_base.h
+++ b/src/steering/store_view_base.h
@@ -5,7 +5,7 @@
 #include "daemon/settings_type.h"
 #include "observe/event_log_base.h"
 #include "platform/store_client_base.h"
-#include "process/store_reader_func.h"
+#include "process/store_source_selector_base.h"
 #include "steering/store_follower_base.h"
 #include "steering/store_relay_base.h"
 #include "version/evacuation_set_base.h"
@@ -53,16 +53,17 @@
   /// Removes servers whose grace period has expired.
   void tick();
 
-  /// Selects where to read from.
-  /// \param Peer Peer address of the entry VM, if that is the source.
-  void setSource(StoreSource Source, const std::string &Peer);
+  /// Sets where to read from.
+  void setSource(const StoreSourceTarget &Target);
+
+  /// \return The present source.
+  StoreSourceStatus getSourceStatus() const {
+    return {Source_, Reader_, ServerFollower_.isUnavailable()};
+  }
 
   /// \return Where updates come from at present.
   StoreSource getSource() const { return Source_; }
 
-  /// \return Whether the store can't be read.
-  bool isStoreUnavailable() const { return ServerFollower_.isUnavailable(); }
-
   /// Handles a store request of another entry VM that reads from this one.
   void handleRelayRequest(const IngressExchangePtr &Exchange);
 
@@ -106,7 +107,7 @@
     return {&ConfigFollower_, &ServerFollower_, &EvacuationFollower_};
   }
   void onRelayFailed(platform::StoreStatus Status, const std::string &Text);
-  RelayState getRelayState() const;
+  RelayState getRelayState(bool IsDirect) const;
 
   boost::asio::io_context &Loop_;    ///< Event loop.
   EventLog &Log_;                    ///< Event log.
@@ -123,8 +124,9 @@
   StoreSource Source_ = StoreSource::None; ///< Where to read from.
   std::string Reader_; ///< Peer that is read from, or empty.
   std::unique_ptr<platform::StoreClient> ReaderClient_; ///< Calls to that peer.
-  Duration MaxFreshAge_{0}; ///< Maximum age of servers that are relayed.
-  Duration MaxAge_{0};      ///< Bound on the age of what a VM in touch knows.
+  Duration MaxFreshAge_{0};   ///< Maximum age of servers that are relayed.
+  Duration MaxRelayedAge_{0}; ///< The same if they come from another VM.
+  Duration MaxAge_{0};        ///< Bound on the age of what a VM in touch knows.
 };
 
 } // namespace cranberry
--- a/test/unit/rollback_test.cpp
+++ b/test/unit/rollback_test.cpp
@@ -48,7 +48,7 @@
         Log_(-1, "vm"),
         Direct_(Loop_, Client_, {"things", Duration(0), seconds(5)},
                 makeHandlers(DirectContents_, DirectEras_), Log_),
-        Relay_(Loop_, [] { return RelayState::Fresh; }),
+        Relay_(Loop_, [](bool) { return RelayState::Fresh; }),
         RelayServer_(Loop_,
                      [this](const IngressExchangePtr &Exchange) {
                        Relay_.handleRequest(Exchange);
--- a/test/unit/store_relay_test.cpp
+++ b/test/unit/store_relay_test.cpp
@@ -46,7 +46,7 @@
         StoreClient_(Loop_, Store_.getAddress(), platform::DirectStoreTimeouts),
         Reader_(Loop_, StoreClient_, {"things", Duration(0), seconds(5)},
                 makeHandlers(ReaderKnown_, true), Log_),
-        Relay_(Loop_, [this] { return getState(); }),
+        Relay_(Loop_, [this](bool) { return getState(); }),
         RelayServer_(
             Loop_,
             [this](const IngressExchangePtr &E) { Relay_.handleRequest(E); }),
--- a/test/unit/store_source_test.cpp
+++ b/test/unit/store_source_test.cpp
@@ -1,6 +1,7 @@
 /// \file store_source_test.cpp Which entry VMs call the store, and how often.
+#include "net/ingress_server_base.h"
 #include "platform/decode_func.h"
-#include "process/store_reader_func.h"
+#include "process/store_source_selector_base.h"
 #include "standin/object_store_base.h"
 #include "steering/store_view_base.h"
 #include "steering/vm_discovery_base.h"
@@ -39,6 +40,8 @@
 
   size_t getCount() const { return Vms_.size(); }
 
+  const MemberList &getMembers() const { return Vms_; }
+
   /// Lets every VM select its source until none of them changes it.
   /// \param CanRead Whether a VM can read the store.
   /// \param IsUp Whether a VM answers others.
@@ -219,6 +222,143 @@
   CHECK(Callers["zone-4"] == std::set<std::string>{Vms.getVm(76).Vm_});
 }
 
+// Guards against a zone whose VMs all change their source at once when the
+// store refuses the one that reads for them.
+TEST_CASE("store source: a refused reader follows a reader that works, and the "
+          "others stay with it") {
+  Fleet Vms(20, 2);
+  std::vector<size_t> Readers = Vms.getReaders("zone-0");
+  std::vector<size_t> Foreign = Vms.getReaders("zone-1");
+  StoreSourceSelector Refused(Seed);
+  Time Now{seconds(1000)};
+  StoreSourceTarget Target =
+      Refused.select(Vms.getMembers(), Vms.getVm(Readers[0]),
+                     {StoreSource::Store, "", true}, Now);
+  CHECK(Target.Source_ == StoreSource::Vm);
+  CHECK(Target.Peer_ == Vms.getVm(Foreign[0]).PeerAddress_);
+  CHECK(Target.IsDirect_);
+  // The store is tried again later, not at once.
+  StoreSourceStatus Status{StoreSource::Vm, Target.Peer_, false};
+  Target = Refused.select(Vms.getMembers(), Vms.getVm(Readers[0]), Status,
+                          Now + seconds(9));
+  CHECK(Target.Source_ == StoreSource::Vm);
+  Target = Refused.select(Vms.getMembers(), Vms.getVm(Readers[0]), Status,
+                          Now + seconds(10));
+  CHECK(Target.Source_ == StoreSource::Store);
+  CHECK_FALSE(Target.IsDirect_);
+  StoreSourceSelector Other(Seed);
+  Target = Other.select(Vms.getMembers(), Vms.getVm(Readers[3]),
+                        {StoreSource::Vm, "", false}, Now);
+  CHECK(Target.Peer_ == Vms.getVm(Readers[0]).PeerAddress_);
+  CHECK_FALSE(Target.IsDirect_);
+}
+
+// Guards against zones that change their reader with each late heartbeat.
+TEST_CASE("store source: a source that answers is kept while others suspect "
+          "it") {
+  Fleet Vms(20, 2);
+  std::vector<size_t> Readers = Vms.getReaders("zone-0");
+  const Member &First = Vms.getVm(Readers[0]);
+  MemberList Members = Vms.getMembers();
+  Members[Readers[0]].State_ = MemberState::Suspect;
+  StoreSourceSelector Follower(Seed);
+  const Member &Self = Vms.getVm(Readers[3]);
+  Time Now{seconds(1000)};
+  StoreSourceStatus Status{StoreSource::Vm, First.PeerAddress_, false};
+  CHECK(Follower.select(Members, Self, Status, Now).Peer_ ==
+        First.PeerAddress_);
+  // One that gives no answer is not, nor one that has gone.
+  Follower.recordFailure(First.PeerAddress_, false, Now);
+  CHECK(Follower.select(Members, Self, Status, Now).Peer_ ==
+        Vms.getVm(Readers[1]).PeerAddress_);
+  StoreSourceSelector Later(Seed);
+  Members[Readers[0]].State_ = MemberState::Gone;
+  CHECK(Later.select(Members, Self, Status, Now).Peer_ ==
+        Vms.getVm(Readers[1]).PeerAddress_);
+}
+
+namespace {
+
+/// Entry VM that reads through a StoreView and relays to others.
+struct RelayingVm {
+  RelayingVm(boost::asio::io_context &Loop, const std::string &Store)
+      : Log_(-1, "vm"), Client_(Loop, Store, platform::DirectStoreTimeouts),
+        View_(Loop, Client_, makeSettings(), Log_, makeHandlers()),
+        Server_(Loop, [this](const IngressExchangePtr &Exchange) {
+          View_.handleRelayRequest(Exchange);
+        }) {
+    Reason Why;
+    REQUIRE(Server_.open("127.0.0.1:0", Why));
+  }
+
+  static Settings makeSettings() {
+    Settings Result;
+    Result.ServerDrain_ = seconds(4);
+    return Result;
+  }
+
+  StoreViewHandlers makeHandlers() {
+    StoreViewHandlers Result;
+    Result.OnConfig_ = [](const RoutingConfigPtr &) {};
+    Result.OnServers_ = [] {};
+    Result.OnFailure_ = [] {};
+    Result.OnStoreRolledBack_ = [] {};
+    Result.OnReaderFailed_ = [this](const std::string &, bool IsBehind) {
+      ++(IsBehind ? Behind_ : Silent_);
+    };
+    Result.OnReaderWanted_ = [] {};
+    return Result;
+  }
+
+  size_t getServerCount() const { return View_.getRegistry().getServerCount(); }
+
+  EventLog Log_;                 ///< Event log.
+  platform::StoreClient Client_; ///< Calls to the store.
+  int Behind_ = 0;               ///< Refusals of the VM that it follows.
+  int Silent_ = 0;               ///< Calls to that VM without an answer.
+  StoreView View_;               ///< The view under test.
+  IngressServer Server_;         ///< Port for other VMs.
+};
+
+} // namespace
+
+// Guards against healthy VMs that learn of a change late because the one that
+// they follow is refused, and against two refused VMs that follow each other.
+TEST_CASE("view: a VM that the store refuses relays what another VM reads, to "
+          "those that need not read it from the store") {
+  boost::asio::io_context Loop;
+  ObjectStore Store;
+  Store.put("config", "main", {{"version", 0}});
+  Store.put("servers", "s0", makeServerEntry(0));
+  RelayingVm Reader(Loop, Store.getAddress());
+  RelayingVm Refused(Loop, "127.0.0.1:1");
+  RelayingVm Behind(Loop, "127.0.0.1:1");
+  RelayingVm AlsoRefused(Loop, "127.0.0.1:1");
+  Reader.View_.setSource({StoreSource::Store, "", false});
+  REQUIRE(runUntil(Loop, [&] { return Reader.getServerCount() == 1; }));
+  Refused.View_.setSource({StoreSource::Vm, Reader.Server_.getAddress(), true});
+  REQUIRE(runUntil(Loop, [&] { return Refused.getServerCount() == 1; }));
+  Behind.View_.setSource(
+      {StoreSource::Vm, Refused.Server_.getAddress(), false});
+  REQUIRE(runUntil(Loop, [&] { return Behind.getServerCount() == 1; }));
+  AlsoRefused.View_.setSource(
+      {StoreSource::Vm, Refused.Server_.getAddress(), true});
+  CHECK(runUntil(Loop, [&] { return AlsoRefused.Behind_ == 1; }));
+  CHECK(AlsoRefused.getServerCount() == 0);
+  unsigned Calls = Store.getCalls();
+  Store.put("servers", "s1", makeServerEntry(1));
+  CHECK(runUntil(
+      Loop, [&] { return Behind.getServerCount() == 2; }, seconds(3)));
+  CHECK(Store.getCalls() - Calls <= 4);
+  CHECK(Behind.Behind_ + Behind.Silent_ == 0);
+  // Without a source, what the refused VM knows gets too old to be relayed.
+  Refused.View_.setSource({StoreSource::None, "", false});
+  Time Before = getNow();
+  CHECK(runUntil(Loop, [&] { return Behind.Behind_ == 1; }));
+  CHECK(getNow() - Before <= seconds(4));
+  CHECK(Behind.getServerCount() == 2);
+}
+
 TEST_CASE("discovery: lists go on until contact and are rare afterwards") {
   boost::asio::io_context Loop;
   ObjectStore Store;
@@ -272,7 +412,7 @@
   Handlers.OnReaderWanted_ = [] {};
   StoreView View(Loop, Client, Config, Log, std::move(Handlers));
   Store.put("servers", "s0", makeServerEntry(0));
-  View.setSource(StoreSource::Store, "");
+  View.setSource({StoreSource::Store, "", false});
   REQUIRE(
       runUntil(Loop, [&] { return View.getRegistry().getServerCount() == 1; }));
   unsigned Before = Applied;
