--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -69,14 +69,24 @@
   requestList();
 }
 
-void StoreFollower::setRelay(platform::StoreClient *Relay, bool CanRestart) {
+void StoreFollower::resume() {
+  pause();
+  // A list of all servers at once takes a weak VM's link for seconds if a whole
+  // zone asks for it.
+  if (Relay_ && IsListed_)
+    requestWatch();
+  else
+    requestList();
+}
+
+void StoreFollower::setRelay(platform::StoreClient *Relay, bool CanResume) {
   bool WasRelayed = Relay_ != nullptr;
   if (Relay_ == Relay)
     return;
   Relay_ = Relay;
   // A call to the store may complete; a call to a relay has to be abandoned.
-  if (WasRelayed && CanRestart)
-    restart();
+  if (WasRelayed && CanResume)
+    resume();
 }
 
 platform::StoreClient &StoreFollower::selectClient() {
@@ -127,7 +137,7 @@
     requestList();
     return;
   }
-  recordSuccess();
+  recordSuccess(Reply.Age_);
   takeEra();
   IsListed_ = true;
   std::vector<platform::StoreObject> Objects;
@@ -171,7 +181,7 @@
   if (Reply.Status_ == StoreStatus::HistoryGone || IsOtherEra) {
     Log_.write(getNow(), "store-history-gone",
                {{"kind", Options_.Kind_}, {"revision", Revision_}});
-    recordSuccess();
+    recordSuccess(Reply.Age_);
     requestList();
     return;
   }
@@ -186,7 +196,7 @@
     handleFailure(StoreStatus::Malformed, Why.Field_ + " " + Why.Message_);
     return;
   }
-  recordSuccess();
+  recordSuccess(Reply.Age_);
   logUnreadable(Changes->Unreadable_);
   Revision_ = std::max(Revision_, Changes->Revision_);
   Cache_.applyChanges(*Changes);
@@ -240,12 +250,12 @@
   if (Handlers_.IsPutOff_ && Handlers_.IsPutOff_())
     scheduleAfter(MaxBackoffRefused, &StoreFollower::retryList);
   else
-    requestList();
+    resume();
 }
 
-void StoreFollower::recordSuccess() {
+void StoreFollower::recordSuccess(Duration Age) {
   Backoff_ = Duration(0);
-  LastSuccess_ = getNow();
+  LastSuccess_ = std::max(LastSuccess_, getNow() - Age);
   if (!IsUnavailable_)
     return;
   IsUnavailable_ = false;
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -64,7 +64,12 @@
   /// unnoticed, the connection of this call may be lost as well.
   void restart();
 
-  /// Makes no calls and ignores the one in flight, until restart().
+  /// Ignores the call in flight and goes on from the known revision at a relay,
+  /// which has the history since it started. At the store it lists again.
+  void resume();
+
+  /// Makes no calls and ignores the one in flight, until restart() or
+  /// resume().
   void pause();
 
   /// \param Pace Minimum interval between two watches.
@@ -76,9 +81,9 @@
   /// Sends calls to another entry VM from the next one on, or to the store if
   /// \p Relay is null. After a failed call to the relay, the owner has to
   /// select the source.
-  /// \param CanRestart Whether to list at once if a call to the relay before
-  /// has to be abandoned. Otherwise restart() has to follow.
-  void setRelay(platform::StoreClient *Relay, bool CanRestart = true);
+  /// \param CanResume Whether to resume at once if a call to the relay before
+  /// has to be abandoned. Otherwise resume() has to follow.
+  void setRelay(platform::StoreClient *Relay, bool CanResume = true);
 
   /// \return Objects read so far.
   const StoreCache &getCache() const { return Cache_; }
@@ -92,7 +97,8 @@
   /// \return Number of entries read so far whose bytes can't be read.
   uint64_t getUnreadableCount() const { return UnreadableCount_; }
 
-  /// \return Time since the last successful call.
+  /// \return Time since what is known was read from the store, by this VM or by
+  /// the one that it follows.
   Duration getAge(Time Now) const { return Now - LastSuccess_; }
 
   /// \return Revision up to which changes are known, within getEra().
@@ -111,7 +117,7 @@
   void takeEra();
   void logUnreadable(const std::vector<std::string> &Names);
   void handleFailure(platform::StoreStatus Status, const std::string &Text);
-  void recordSuccess();
+  void recordSuccess(Duration Age);
   platform::StoreResponseHandler makeResponseHandler(
       void (StoreFollower::*Take)(const platform::StoreResponse &));
   void scheduleAfter(Duration Wait, void (StoreFollower::*Next)());
@@ -133,7 +139,7 @@
                             ///< ignored.
   uint64_t UnreadableCount_ = 0;           ///< See getUnreadableCount().
   std::set<std::string> LoggedUnreadable_; ///< Names that were logged.
-  Time LastSuccess_;           ///< Time of the last successful call.
+  Time LastSuccess_;           ///< Time at which the store was last read.
   Time LastWatchStart_;        ///< Start of the last watch.
   Duration Backoff_{0};        ///< Last delay after a failure.
   bool IsListed_ = false;      ///< Whether the kind was listed.
