--- a/src/steering/request_router_report.cpp
+++ b/src/steering/request_router_report.cpp
@@ -64,6 +64,7 @@
       Metrics_.setGauge("cranberry_divided_share", Name + " to " + Region,
                         Share);
   }
+  Workspaces_.updateGauges(Metrics_);
   Metrics_.setGauge("cranberry_open_requests", "all",
                     static_cast<double>(Flows_.size()));
   Metrics_.setGauge("cranberry_server_connections_opened", "all",
