--- a/test/unit/message_framing_test.cpp
+++ b/test/unit/message_framing_test.cpp
@@ -316,6 +316,16 @@
   }
 }
 
+// The parser behind the check refuses it as well.
+TEST_CASE(
+    "framing: a length beside a transfer coding is refused by the check") {
+  for (const char *Fields :
+       {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n"})
+    CHECK(std::holds_alternative<FramingError>(
+        readRequestFraming(makePut(Fields))));
+}
+
 TEST_CASE("framing: a connection is kept as its version and options say") {
   for (const auto &[Head, IsKept] :
        {std::pair<std::string, bool>{"GET / HTTP/1.1\r\nHost: x\r\n", true},
