Feature: [Workspace] Quotas bind over all VMs by leases of their holders

Change: each quota has a holder (rendezvous hashing over the VMs in touch), which leases rate and tokens to the VMs that ask. The tokens of all leases and of the holder's bucket grow no faster than the rate and never exceed burst and half the slack. A request waits up to 450 ms for the holder's first answer; over the limit it gets 429 at once. A token comes back if no server ran the request; a repeat that may be a second run takes one of its own. Enforced only where the settings name a window.

--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -50,6 +50,10 @@
   double MaxRegionShift_ = 1; ///< Largest share of a region's requests that may
                               ///< move to another region within 2 s.
   double ColdBurstFactor_ = 1; ///< Factor on a cold server's request rate.
+  Duration QuotaWindow_{0};    ///< Window in which requests of a workspace are
+                               ///< counted; 0 if quotas aren't enforced.
+  double QuotaSlack_ = 0;      ///< Requests that a window may have beyond a
+                               ///< quota.
   double ProcessorShare_ = 1;  ///< Cores that this VM may use.
   double LinkMbps_ = 0; ///< Speed of this VM's link in Mbit/s; 0 if unknown.
   bool IsFirstStart_ = true; ///< Whether the whole system starts for the first
--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -63,6 +63,8 @@
     {"processorShare", &Settings::ProcessorShare_, false, false, false, 0, 1024},
     {"linkMbps", &Settings::LinkMbps_, false, false, false, 0, 1000000},
     {"firstStart", &Settings::IsFirstStart_, false, false, false, 0, 0},
+    {"quotaWindowMs", &Settings::QuotaWindow_, false, false, true, 100, 600000},
+    {"quotaSlack", &Settings::QuotaSlack_, false, false, true, 0, 1000000},
     {"coldBurstFactor", &Settings::ColdBurstFactor_, false, false, true, 0, 100},
 };
 // clang-format on
--- a/src/steering/client_flow_type.h
+++ b/src/steering/client_flow_type.h
@@ -9,10 +9,12 @@
 #include "version/routing_type.h"
 #include "version/server_record_type.h"
 #include "workspace/client_key_type.h"
+#include "workspace/quota_type.h"
 
 #include <absl/container/flat_hash_map.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +50,7 @@
   const RouteConfig *Route_ = nullptr; ///< Route in that configuration.
   /// Workspace in that configuration; null for an anonymous request.
   const WorkspaceConfig *Workspace_ = nullptr;
+  std::optional<QuotaTaken> Quota_;       ///< Token of the workspace's quota.
   ClientKey Key_;                         ///< Credentials of the request.
   ServicePool *Pool_ = nullptr;           ///< Pool of its service.
   std::string Id_;                        ///< Request id set by the client.
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -51,7 +51,10 @@
                              Metrics &Counters)
     : Loop_(Loop), Settings_(Config), Log_(Log), Metrics_(Counters),
       Locator_(Config, getNow()), Connections_(Loop),
-      ShiftGate_(ShiftLimitShare * Config.MaxRegionShift_), Workspaces_(Log) {}
+      ShiftGate_(ShiftLimitShare * Config.MaxRegionShift_), Workspaces_(Log) {
+  Workspaces_.setOnSettle(
+      [this](FlowIndex Flow, bool IsLast) { return settleHeld(Flow, IsLast); });
+}
 
 ServicePool &RequestRouter::getPool(const std::string &Service) {
   std::unique_ptr<ServicePool> &Pool = Pools_[Service];
@@ -75,17 +78,6 @@
   refuseWithdrawnKeys();
 }
 
-void RequestRouter::refuseWithdrawnKeys() {
-  std::vector<FlowIndex> Withdrawn;
-  for (const auto &[Index, Flow] : Flows_)
-    if (Flow->Attempts_.empty() &&
-        !Workspaces_.isStillAdmitted(Flow->Key_, Flow->Workspace_))
-      Withdrawn.push_back(Flow->Index_);
-  for (FlowIndex Index : Withdrawn)
-    sendFailure(*Flows_.at(Index.get()), ResultCode::WorkspaceKeyUnknown,
-                ResultCode::ServerAnswerLost, Duration(0));
-}
-
 void RequestRouter::setServers(const ServerRegistry &Registry,
                                const MemberList &Members) {
   Locator_.setMembers(Members, getNow());
@@ -208,7 +200,7 @@
   Flow->Pool_->RetryBudget_.recordRequest(Exchange->getArrivalTime());
   ClientFlow &Open = *Flow;
   Flows_[Open.Index_.get()] = std::move(Flow);
-  submit(Open);
+  admit(Open);
 }
 
 void RequestRouter::startDeadlineTimer(ClientFlow &Flow) {
@@ -340,6 +332,7 @@
               {"objectiveMs", Flow.Route_->LatencyObjective_},
               {"workspace", Flow.getWorkspaceName()},
               {"version", Flow.Config_->Version_}});
+  giveBackQuota(Flow, Code);
   if (Flow.IsQueued_)
     Pool.Balancer_.cancelWaiting(Flow.Index_);
   for (InFlightAttempt &Attempt : Flow.Attempts_) {
--- a/src/steering/request_router_attempts.cpp
+++ b/src/steering/request_router_attempts.cpp
@@ -259,7 +259,7 @@
     --Flow.ServerCount_; // It reached no server, so it doesn't count as a
                          // retry.
   else if (Flow.ServerCount_ >= Flow.Route_->MaxServers_ ||
-           !Pool.RetryBudget_.tryConsume(Now))
+           !canRepeat(Flow, Outcome) || !Pool.RetryBudget_.tryConsume(Now))
     return false;
   submit(Flow);
   return true;
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -118,6 +118,11 @@
                                        const RouteConfig &Route,
                                        const WorkspaceConfig *Workspace,
                                        const platform::ClientRequestInfo &Info);
+  void admit(ClientFlow &Flow);
+  bool settleHeld(FlowIndex Index, bool IsLast);
+  bool applyQuotaDecision(ClientFlow &Flow, const QuotaDecision &Decision);
+  bool canRepeat(const ClientFlow &Flow, AttemptOutcome Outcome);
+  void giveBackQuota(const ClientFlow &Flow, ResultCode Code);
   void submit(ClientFlow &Flow);
   void scheduleStep(ServicePool &Pool);
   void scheduleTimedStep(ServicePool &Pool);
--- a/src/steering/request_router_report.cpp
+++ b/src/steering/request_router_report.cpp
@@ -50,6 +50,7 @@
     Metrics_.setGauge("cranberry_repeat_budget_left", Name,
                       Pool->RetryBudget_.getRemaining(Now));
   }
+  Workspaces_.updateGauges(Metrics_);
   Metrics_.setGauge("cranberry_open_requests", "all",
                     static_cast<double>(Flows_.size()));
   Metrics_.setGauge("cranberry_server_connections_opened", "all",
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -88,7 +88,8 @@
       Router_(Loop_, Settings_, Log_, Metrics_),
       Peers_(Loop_, makeSelf(Incarnation), Settings_.HeartbeatPeriod_, Log_,
              [this] { onMembersChanged(); }),
-      RateShares_(Loop_, Router_, Peers_, Log_), VmLoad_(Settings_),
+      RateShares_(Loop_, Router_, Peers_, Log_),
+      Quotas_(Loop_, Router_.getWorkspaces(), Peers_, Log_), VmLoad_(Settings_),
       ClientPort_(
           Loop_,
           [this](const IngressExchangePtr &E) { Router_.handleRequest(E); }),
@@ -108,12 +109,9 @@
   Log_.setMaxLinesPerSecond(Settings_.LogLinesPerSecond_);
   if (!Settings_.IsFirstStart_)
     Router_.liftShiftLimit();
-  Peers_.setRequestHandler([this](const IngressExchangePtr &E) {
-    if (E->getMessage().target() == RateShareExchange::Path)
-      RateShares_.handleReport(E);
-    else
-      View_.handleRelayRequest(E);
-  });
+  Quotas_.applySettings(Settings_);
+  Peers_.setRequestHandler(
+      [this](const IngressExchangePtr &E) { handlePeerRequest(E); });
   Router_.getWorkspaces().setConfigCurrentPredicate(
       [this] { return View_.isConfigCurrent(getNow()); });
   Router_.setOnLeaving([this](const std::string &Server, int64_t StartTimeMs) {
@@ -170,6 +168,7 @@
 void SteeringVm::onVmsListed(const std::vector<std::string> &Peers) {
   for (const std::string &Peer : Peers)
     Peers_.addSeed(Peer);
+  Quotas_.setListedCount(Peers.size() + 1);
   if (IsReading_)
     return;
   if (Peers.empty()) {
@@ -394,6 +393,7 @@
   Peers_.setPeriod(Settings_.HeartbeatPeriod_);
   View_.applySettings(Settings_);
   Router_.applySettings();
+  Quotas_.applySettings(Settings_);
   Router_.setServers(View_.getRegistry(), Peers_.getMembers());
 }
 
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -8,6 +8,7 @@
 #include "observe/metrics_base.h"
 #include "platform/store_client_base.h"
 #include "steering/peer_exchange_base.h"
+#include "steering/quota_exchange_base.h"
 #include "steering/rate_share_exchange_base.h"
 #include "steering/request_router_base.h"
 #include "steering/store_view_base.h"
@@ -66,6 +67,7 @@
   void startShutdown();
   void pollShutdown();
   bool isReady() const { return View_.isComplete() && !IsStopping_; }
+  void handlePeerRequest(const IngressExchangePtr &Exchange);
   void handleReadiness(const IngressExchangePtr &Exchange);
   void handleLookup(const IngressExchangePtr &Exchange);
   void handleMetrics(const IngressExchangePtr &Exchange);
@@ -82,6 +84,7 @@
   RequestRouter Router_;         ///< Routes client requests.
   PeerExchange Peers_;           ///< Heartbeats with other entry VMs.
   RateShareExchange RateShares_; ///< Shares of servers' request rates.
+  QuotaExchange Quotas_;         ///< Leases of workspaces' quotas.
   VmLoadMonitor VmLoad_;         ///< Load of this VM.
   IngressServer ClientPort_;     ///< Port for clients.
   IngressServer ReadinessPort_;  ///< Port for readiness checks.
--- a/src/steering/steering_vm_ports.cpp
+++ b/src/steering/steering_vm_ports.cpp
@@ -19,6 +19,13 @@
 
 } // namespace
 
+void SteeringVm::handlePeerRequest(const IngressExchangePtr &Exchange) {
+  if (Exchange->getMessage().target() == RateShareExchange::Path)
+    RateShares_.handleReport(Exchange);
+  else if (!Quotas_.handleRequest(Exchange))
+    View_.handleRelayRequest(Exchange);
+}
+
 void SteeringVm::handleReadiness(const IngressExchangePtr &Exchange) {
   if (Exchange->getMessage().target() != platform::path::Readiness)
     Exchange->respond(makeResponse(NotFound, ""));
--- a/src/steering/workspace_admission_base.h
+++ b/src/steering/workspace_admission_base.h
@@ -3,9 +3,14 @@
 #define CRANBERRY_STEERING_WORKSPACE_ADMISSION_BASE_H
 
 #include "observe/event_log_base.h"
+#include "observe/metrics_base.h"
+#include "request/balancer_type.h"
 #include "workspace/access_check_func.h"
+#include "workspace/workspace_quotas_base.h"
 
+#include <deque>
 #include <functional>
+#include <set>
 
 namespace cranberry {
 
@@ -35,11 +40,64 @@
   bool isStillAdmitted(const ClientKey &Key,
                        const WorkspaceConfig *Workspace) const;
 
+  /// \param Terms Required accuracy of quotas.
+  void setQuotaTerms(const QuotaTerms &Terms) { Quotas_.setTerms(Terms); }
+
+  /// \param Action Called with the time at which holders of quotas have to be
+  /// asked.
+  void setOnAskDue(std::function<void(Time)> Action) {
+    OnAskDue_ = std::move(Action);
+  }
+
+  /// \param Action Called to decide again about a request that waits for its
+  /// quota. Its second parameter tells whether it may not wait any longer; its
+  /// result, whether it still waits.
+  void setOnSettle(std::function<bool(FlowIndex, bool)> Action) {
+    OnSettle_ = std::move(Action);
+  }
+
+  /// Takes a new request out of its workspace's quota. If the result is
+  /// QuotaPending, the request waits here until settleHeld().
+  /// \param Workspace Workspace of the request, or null.
+  QuotaDecision take(const WorkspaceConfig *Workspace, FlowIndex Flow,
+                     Time Now);
+
+  /// Decides again about the requests that wait, in order of arrival.
+  void settleHeld(Time Now);
+
+  /// \return Time at which asks or waiting requests are due.
+  Time getNextQuotaWork(Time Now) const;
+
+  /// Writes the log line of a refusal.
+  /// \param Request Id of the request.
+  void logRefusal(const std::string &Request, const std::string &Workspace,
+                  const QuotaExceeded &Why, Time Now);
+
+  /// Updates the gauges of workspaces. At most MaxSeries of them have gauges of
+  /// their own.
+  void updateGauges(Metrics &Counters);
+
+  /// \return Leases of this VM.
+  WorkspaceQuotas &getQuotas() { return Quotas_; }
+
 private:
-  EventLog &Log_;                         ///< Event log.
-  std::function<bool()> IsConfigCurrent_; ///< See the setter.
-  RoutingConfigPtr Config_;               ///< Configuration in force.
-  WorkspaceTable Keys_;                   ///< Keys of the configuration.
+  static constexpr size_t MaxSeries = 20;
+
+  /// A request that waits for its quota.
+  struct HeldRequest {
+    FlowIndex Flow_; ///< Number of the request.
+    Time Since_;     ///< Time of arrival.
+  };
+
+  EventLog &Log_;                                 ///< Event log.
+  std::function<bool()> IsConfigCurrent_;         ///< See the setter.
+  RoutingConfigPtr Config_;                       ///< Configuration in force.
+  WorkspaceQuotas Quotas_;                        ///< Leases of quotas.
+  std::deque<HeldRequest> Held_;                  ///< Requests that wait.
+  std::function<void(Time)> OnAskDue_;            ///< See the setter.
+  std::function<bool(FlowIndex, bool)> OnSettle_; ///< See the setter.
+  std::set<std::string> Series_;                  ///< Workspaces with gauges.
+  WorkspaceTable Keys_; ///< Keys of the configuration.
 };
 
 } // namespace cranberry
