Fix: [Workspace] Small quotas have room for several VMs

Cause: the first VMs of a workspace took the whole capacity for saved tokens, so that others got no lease; and small shares of a contended quota asked for tokens that then ran out unused. Change: a VM gets at most half of the free capacity, the bucket keeps room for a token, and a VM without a rate gets single tokens on demand.

--- a/src/workspace/quota_ledger.cpp
+++ b/src/workspace/quota_ledger.cpp
@@ -17,7 +17,7 @@
 
 /// Tokens that a VM may save up: its rate in this time, and at least MinTokens
 /// as requests take whole ones.
-constexpr double SavingSeconds = 1;
+constexpr double SavingSeconds = 0.5;
 constexpr double MinTokens = 1;
 
 /// A smaller share of a quota that is used up is given out as single tokens. At
@@ -156,22 +156,22 @@
   bool IsContended = Share < Ask.Demand_;
   if (!IsContended || Share >= MinContendedRate)
     Result.Rate_ = std::clamp(Share, 0.0, std::max(0.0, Free));
-  // Each VM has room for its part of the tokens, by number or by rate.
-  double Capacity = Terms_.getCapacity(Known.Quota_) * Scale;
-  double Part = std::max(1.0 / static_cast<double>(Known.Borrowers_.size()),
-                         Total > 0 ? Result.Rate_ / Total : 0);
+  // The bucket keeps room for a token, so that a VM without a rate gets single
+  // ones.
+  double Room =
+      Terms_.getCapacity(Known.Quota_) * Scale - Others.Capacity_ - MinTokens;
   double Wanted =
       std::max(MinTokens, Result.Rate_ * SavingSeconds + Ask.Tokens_);
-  Result.Capacity_ =
-      std::clamp(Capacity - Others.Capacity_, 0.0,
-                 std::min(Wanted, std::max(MinTokens, Capacity * Part)));
-  if (Result.Capacity_ < MinTokens) // It couldn't save up a whole token.
-    Result.Rate_ = Result.Capacity_ = 0;
+  if (Room < MinTokens) // It couldn't save up a whole token.
+    Result.Rate_ = 0;
+  else
+    Result.Capacity_ = std::min(Wanted, std::max(MinTokens, Room / 2));
   bool IsFar = Others.Rate_ + Result.Rate_ <= Total * LongLeaseShare;
   Result.Life_ = IsFar ? Terms_.getLongLease() : Terms_.getShortLease();
   Result.Tokens_ = std::min({Ask.Tokens_, Known.Tokens_, Result.Capacity_});
   if (Result.Rate_ <= 0) // Parts of a token are of no use to anyone.
-    Result.Capacity_ = Result.Tokens_ = std::floor(Result.Tokens_);
+    Result.Capacity_ = Result.Tokens_ =
+        std::floor(std::min(std::ceil(Ask.Tokens_), Known.Tokens_));
   Known.Tokens_ -= Result.Tokens_;
   Self.Leases_.push_back(
       {Result.Id_.Number_, Result.Rate_, Result.Capacity_, Now + Result.Life_});
--- a/src/workspace/quota_type.h
+++ b/src/workspace/quota_type.h
@@ -71,6 +71,7 @@
 /// The quota is used up.
 struct QuotaExceeded {
   Duration RetryAfter_{0}; ///< Time until there is room.
+  double Limit_ = 0;       ///< Quota per second.
   double Rate_ = 0;        ///< Rate of this VM's lease per second.
   double Left_ = 0;        ///< Tokens left of it.
   Duration Age_{0};        ///< Time since the holder's last answer.
--- a/src/workspace/workspace_quotas.cpp
+++ b/src/workspace/workspace_quotas.cpp
@@ -122,8 +122,8 @@
   Known.LastReturn_ =
       std::min(std::max(Known.LastReturn_, Now + MinReturn) + Step,
                Now + Terms_.Window_);
-  return {Known.LastReturn_ - Now, Known.Rate_, Known.Tokens_,
-          Now - Known.AnsweredAt_};
+  return {Known.LastReturn_ - Now, Known.Quota_.RatePerSecond_, Known.Rate_,
+          Known.Tokens_, Now - Known.AnsweredAt_};
 }
 
 bool WorkspaceQuotas::tryReserve(Share &Known, bool IsNew, Time Now) {
@@ -220,6 +220,13 @@
   return std::max(Result, Now);
 }
 
+double WorkspaceQuotas::getWanted(const Share &Known) {
+  if (Known.Room_ != Room::Exhausted)
+    return Known.Missing_ + Known.Demand_ * AheadSeconds;
+  // Most requests that lacked a token have been refused.
+  return std::max(1.0, Known.Demand_ * toSeconds(ExhaustedAskPeriod));
+}
+
 std::vector<QuotaAsk> WorkspaceQuotas::takeAsks(Time Now) {
   std::vector<QuotaAsk> Result;
   for (auto &[Name, Known] : Shares_) {
@@ -235,8 +242,7 @@
     Known.AskedRate_ = Known.Demand_ * DemandGrowth + DemandMargin;
     if (IsOversized)
       Known.Rate_ = std::min(Known.Rate_, Known.AskedRate_);
-    Known.Asked_ = std::max(
-        0.0, Known.Missing_ + 1 + Known.Demand_ * AheadSeconds - Known.Tokens_);
+    Known.Asked_ = std::max(0.0, getWanted(Known) - Known.Tokens_);
     Known.Missing_ = 0;
     Known.AskedAt_ = Now;
     Known.IsAsking_ = true;
--- a/src/workspace/workspace_quotas_base.h
+++ b/src/workspace/workspace_quotas_base.h
@@ -97,7 +97,7 @@
     Time AnsweredAt_;            ///< Time of the last answer.
     Time RoomAt_;                ///< Time of Room_.
     bool IsAsking_ = false;      ///< Whether an answer is due.
-    Time ReservedUntil_;          ///< End of the wait for the next token.
+    Time ReservedUntil_;         ///< End of the wait for the next token.
     Time LastReturn_;            ///< Latest time given to a refused client.
     uint64_t Taken_ = 0;         ///< Requests admitted.
     uint64_t Refused_ = 0;       ///< Requests refused.
@@ -109,6 +109,7 @@
   static bool tryReserve(Share &Known, bool IsNew, Time Now);
   QuotaDecision decide(Share &Known, bool IsNew, bool IsLast, Time Now);
   QuotaExceeded refuse(Share &Known, Time Now) const;
+  static double getWanted(const Share &Known);
   static bool isDue(const Share &Known, Time AskedAt);
   static bool isOversized(const Share &Known, Time Now);
   static Time getAskTime(const Share &Known);
