Change: [Workspace] A start of all VMs delays no quota

Cause: a holder that has just started assumes that leases of its earlier process are in use, for 5 s. Change: there is no predecessor if every VM known started within 500 ms before this one or later.

--- a/src/steering/quota_exchange.cpp
+++ b/src/steering/quota_exchange.cpp
@@ -79,7 +79,7 @@
   std::vector<QuotaPeer> Seen;
   for (const Member &Vm : Peers_.getMembers())
     Seen.push_back({Vm.Vm_, Vm.State_ == MemberState::Alive,
-                    Vm.State_ == MemberState::Leaving});
+                    Vm.State_ == MemberState::Leaving, Vm.Incarnation_});
   Holders_.setPeers(Seen, Now);
   Ledger_.retain([this](const std::string &Workspace) {
     return Holders_.isHeldHere(Workspace);
@@ -137,8 +137,7 @@
   for (const QuotaAsk &Each : Report.Asks_)
     if (Holders_.isHeldHere(Each.Workspace_))
       Result.push_back(Ledger_.lease(Each, Report.Vm_, Holders_.getScale(),
-                                     Holders_.getHeldSince(Each.Workspace_),
-                                     Now));
+                                     Holders_.getTerm(Each.Workspace_), Now));
   return Result;
 }
 
--- a/src/workspace/quota_holders.cpp
+++ b/src/workspace/quota_holders.cpp
@@ -11,6 +11,13 @@
 /// quota through all of them counts from the oldest.
 constexpr size_t MaxViews = 8;
 
+/// VMs that started within this time of each other started together. An earlier
+/// one may have leases of an earlier process of this VM.
+constexpr Duration StartSpan = milliseconds(500);
+
+/// After this time, this process has learned of the others.
+constexpr Duration JoinTime = seconds(2);
+
 /// FNV-1a, which gives the same hash on every VM.
 uint64_t hashName(const std::string &Name) {
   uint64_t Hash = 0xcbf29ce484222325ULL;
@@ -37,7 +44,9 @@
     }
     Known_[Each.Vm_] = Now;
     if (Each.IsAlive_)
-      Candidates.push_back({Each.Vm_, hashName(Each.Vm_)});
+      Candidates.push_back({Each.Vm_, hashName(Each.Vm_), Each.Incarnation_});
+    if (Each.Vm_ == Self_)
+      Incarnation_ = Each.Incarnation_;
   }
   std::erase_if(Known_, [Now](const auto &Entry) {
     return Entry.second + LostRetention <= Now;
@@ -46,7 +55,7 @@
       Candidates.begin(), Candidates.end(),
       [](const Candidate &A, const Candidate &B) { return A.Vm_ < B.Vm_; });
   auto IsSame = [](const Candidate &A, const Candidate &B) {
-    return A.Vm_ == B.Vm_;
+    return A.Vm_ == B.Vm_ && A.Incarnation_ == B.Incarnation_;
   };
   if (!Views_.empty() && std::equal(Candidates.begin(), Candidates.end(),
                                     Views_.back().Candidates_.begin(),
@@ -57,7 +66,10 @@
     Views_.erase(Views_.begin());
 }
 
-void QuotaHolders::recordPause(Time Now) { Since_ = Now; }
+void QuotaHolders::recordPause(Time Now) {
+  Since_ = Now;
+  WasPaused_ = true;
+}
 
 const std::string *
 QuotaHolders::select(const std::vector<Candidate> &Candidates,
@@ -81,7 +93,17 @@
   return Found ? *Found : Self_;
 }
 
-Time QuotaHolders::getHeldSince(const std::string &Workspace) const {
+bool QuotaHolders::haveAllStarted(Time HeldSince) const {
+  if (WasPaused_ || Views_.empty() || HeldSince - Start_ >= JoinTime)
+    return false;
+  const std::vector<Candidate> &All = Views_.back().Candidates_;
+  auto Span = static_cast<uint64_t>(toMilliseconds(StartSpan));
+  return std::all_of(All.begin(), All.end(), [&](const Candidate &Each) {
+    return Each.Incarnation_ + Span >= Incarnation_;
+  });
+}
+
+QuotaTerm QuotaHolders::getTerm(const std::string &Workspace) const {
   Time Result = Time::max();
   for (auto Each = Views_.rbegin(); Each != Views_.rend(); ++Each) {
     const std::string *Holder = select(Each->Candidates_, Workspace);
@@ -89,7 +111,8 @@
       break;
     Result = Each->Since_;
   }
-  return Result == Time::max() ? Since_ : std::max(Since_, Result);
+  Result = Result == Time::max() ? Since_ : std::max(Since_, Result);
+  return {Result, !haveAllStarted(Result)};
 }
 
 double QuotaHolders::getScale() const {
--- a/src/workspace/quota_holders_base.h
+++ b/src/workspace/quota_holders_base.h
@@ -2,7 +2,7 @@
 #ifndef CRANBERRY_WORKSPACE_QUOTA_HOLDERS_BASE_H
 #define CRANBERRY_WORKSPACE_QUOTA_HOLDERS_BASE_H
 
-#include "core/time_type.h"
+#include "workspace/quota_type.h"
 
 #include <map>
 #include <optional>
@@ -13,9 +13,10 @@
 
 /// What an entry VM sees of another one, or of itself.
 struct QuotaPeer {
-  std::string Vm_;         ///< Name.
-  bool IsAlive_ = true;    ///< Whether it can hold quotas.
-  bool IsLeaving_ = false; ///< Whether it stops as planned.
+  std::string Vm_;           ///< Name.
+  bool IsAlive_ = true;      ///< Whether it can hold quotas.
+  bool IsLeaving_ = false;   ///< Whether it stops as planned.
+  uint64_t Incarnation_ = 0; ///< Start of its process, in milliseconds.
 };
 
 /// Selects the holder of each quota by rendezvous hashing, and tells since when
@@ -29,7 +30,7 @@
   /// \param Self Name of this VM.
   /// \param Start Start of this process.
   QuotaHolders(std::string Self, Time Start)
-      : Self_(std::move(Self)), Since_(Start) {}
+      : Self_(std::move(Self)), Start_(Start), Since_(Start) {}
 
   /// Applies the list of entry VMs, this one included.
   void setPeers(const std::vector<QuotaPeer> &Peers, Time Now);
@@ -48,9 +49,10 @@
     return getHolder(Workspace) == Self_;
   }
 
-  /// \return Time since which this VM holds the quota of \p Workspace for
-  /// certain.
-  Time getHeldSince(const std::string &Workspace) const;
+  /// \return Since when this VM holds the quota of \p Workspace for certain.
+  /// There is no predecessor if all VMs have just started, as after a power
+  /// loss.
+  QuotaTerm getTerm(const std::string &Workspace) const;
 
   /// \return Part of each quota that the VMs in touch may use.
   double getScale() const;
@@ -58,8 +60,9 @@
 private:
   /// Name and hash of a VM that can hold quotas.
   struct Candidate {
-    std::string Vm_;    ///< Name.
-    uint64_t Hash_ = 0; ///< Hash of the name.
+    std::string Vm_;           ///< Name.
+    uint64_t Hash_ = 0;        ///< Hash of the name.
+    uint64_t Incarnation_ = 0; ///< Start of its process.
   };
 
   /// VMs that could hold quotas at some time.
@@ -71,10 +74,15 @@
   static const std::string *select(const std::vector<Candidate> &Candidates,
                                    const std::string &Workspace);
 
-  std::string Self_;        ///< Name of this VM.
-  Time Since_;              ///< Start, or end of the last pause.
-  std::vector<View> Views_; ///< Recent views; the last one is in force.
-  size_t Listed_ = 0;       ///< See setListedCount().
+  bool haveAllStarted(Time HeldSince) const;
+
+  std::string Self_;         ///< Name of this VM.
+  Time Start_;               ///< Start of this process.
+  Time Since_;               ///< Start, or end of the last pause.
+  uint64_t Incarnation_ = 0; ///< Start of this process, as announced.
+  bool WasPaused_ = false;   ///< Whether there was a pause.
+  std::vector<View> Views_;  ///< Recent views; the last one is in force.
+  size_t Listed_ = 0;        ///< See setListedCount().
   std::map<std::string, Time> Known_; ///< VMs that count, by last contact.
 };
 
--- a/src/workspace/quota_ledger.cpp
+++ b/src/workspace/quota_ledger.cpp
@@ -30,14 +30,16 @@
 
 } // namespace
 
-QuotaLedger::Account &QuotaLedger::open(const QuotaAsk &Ask, Time HolderSince,
-                                        Time Now) {
+QuotaLedger::Account &QuotaLedger::open(const QuotaAsk &Ask,
+                                        const QuotaTerm &Term, Time Now) {
   auto [At, IsNew] = Accounts_.try_emplace(Ask.Workspace_);
   Account &Known = At->second;
   if (IsNew) {
-    Known.HolderSince_ = HolderSince;
-    Known.RefilledAt_ = HolderSince;
+    Known.HolderSince_ = Term.Since_;
+    Known.RefilledAt_ = Term.Since_;
   }
+  // Other VMs may have become known that started earlier.
+  Known.HasPredecessor_ = Known.HasPredecessor_ || Term.HasPredecessor_;
   if (Ask.Version_ >= Known.Version_) {
     Known.Quota_ = Ask.Quota_;
     Known.Version_ = Ask.Version_;
@@ -47,6 +49,8 @@
 }
 
 double QuotaLedger::getAssumedRate(const Account &Known, Time At) const {
+  if (!Known.HasPredecessor_)
+    return 0;
   // Leases of the previous holder that this one doesn't know.
   Duration Age = At - Known.HolderSince_;
   if (Age < Terms_.getTakeoverDelay())
@@ -131,8 +135,8 @@
 }
 
 QuotaLease QuotaLedger::lease(const QuotaAsk &Ask, const std::string &Vm,
-                              double Scale, Time HolderSince, Time Now) {
-  Account &Known = open(Ask, HolderSince, Now);
+                              double Scale, const QuotaTerm &Term, Time Now) {
+  Account &Known = open(Ask, Term, Now);
   refill(Known, Scale, Now);
   endLeases(Known, Now);
   Borrower &Self = Known.Borrowers_[Vm];
--- a/src/workspace/quota_ledger_base.h
+++ b/src/workspace/quota_ledger_base.h
@@ -27,10 +27,9 @@
   /// Grants a lease.
   /// \param Vm Name of the VM that asks.
   /// \param Scale Part of the quota that may be leased.
-  /// \param HolderSince Time since which this VM holds the quota; used for a
-  /// new account.
+  /// \param Term Since when this VM holds the quota.
   QuotaLease lease(const QuotaAsk &Ask, const std::string &Vm, double Scale,
-                   Time HolderSince, Time Now);
+                   const QuotaTerm &Term, Time Now);
 
   /// Closes the accounts of workspaces for which \p IsHeld is false.
   void retain(const std::function<bool(const std::string &)> &IsHeld);
@@ -60,7 +59,8 @@
   struct Account {
     WorkspaceQuota Quota_;                      ///< Newest quota.
     uint64_t Version_ = 0;                      ///< Its configuration version.
-    Time HolderSince_;                          ///< See lease().
+    Time HolderSince_;                          ///< Start of the term.
+    bool HasPredecessor_ = false;               ///< See QuotaTerm.
     double Scale_ = 1;                          ///< Last scale of lease().
     double Tokens_ = 0;                         ///< Tokens in the bucket.
     Time RefilledAt_;                           ///< Time of Tokens_.
@@ -74,7 +74,7 @@
     double Capacity_ = 0; ///< Tokens.
   };
 
-  Account &open(const QuotaAsk &Ask, Time HolderSince, Time Now);
+  Account &open(const QuotaAsk &Ask, const QuotaTerm &Term, Time Now);
   double getAssumedRate(const Account &Known, Time At) const;
   void refill(Account &Known, double Scale, Time Now) const;
   static void recordUsed(Borrower &Self, const QuotaAsk &Ask);
--- a/src/workspace/quota_type.h
+++ b/src/workspace/quota_type.h
@@ -36,6 +36,13 @@
   }
 };
 
+/// Since when a VM holds a quota.
+struct QuotaTerm {
+  Time Since_;                 ///< Start of the term.
+  bool HasPredecessor_ = true; ///< Whether leases of another holder, or of an
+                               ///< earlier process, may be in use.
+};
+
 /// Identifies a lease.
 struct QuotaLeaseId {
   uint64_t Issuer_ = 0; ///< Incarnation of the holder.
--- a/test/support/quota_fleet.cpp
+++ b/test/support/quota_fleet.cpp
@@ -36,6 +36,8 @@
 void QuotaFleet::start(unsigned Vm) {
   Node &Self = Nodes_[Vm];
   ++Self.Process_;
+  Self.Incarnation_ =
+      static_cast<uint64_t>(toMilliseconds(Now_.time_since_epoch()));
   std::string Name = "vm" + std::to_string(Vm);
   Self.Workspace_ = Workspace_;
   Self.Holders_ = std::make_unique<QuotaHolders>(Name, Now_);
@@ -59,7 +61,8 @@
   std::vector<QuotaPeer> Peers;
   for (unsigned I = 0; I < Nodes_.size(); ++I)
     if (Nodes_[Vm].Sees_[I])
-      Peers.push_back({"vm" + std::to_string(I), true, false});
+      Peers.push_back(
+          {"vm" + std::to_string(I), true, false, Nodes_[I].Incarnation_});
   Nodes_[Vm].Holders_->setPeers(Peers, Now_);
   Nodes_[Vm].Ledger_->retain([&](const std::string &Name) {
     return Nodes_[Vm].Holders_->isHeldHere(Name);
@@ -158,7 +161,7 @@
   if (To.Holders_->isHeldHere(Workspace_.Name_))
     Reply.Lease_ = To.Ledger_->lease(
         Next.Ask_, "vm" + std::to_string(Next.From_), To.Holders_->getScale(),
-        To.Holders_->getHeldSince(Workspace_.Name_), Now_);
+        To.Holders_->getTerm(Workspace_.Name_), Now_);
   send(Reply);
 }
 
@@ -200,8 +203,7 @@
     if (Holder == Vm)
       Self.Quotas_->applyLease(
           Self.Ledger_->lease(Ask, Name, Self.Holders_->getScale(),
-                              Self.Holders_->getHeldSince(Ask.Workspace_),
-                              Now_),
+                              Self.Holders_->getTerm(Ask.Workspace_), Now_),
           Now_, Now_);
     else
       send({Now_, Vm, Holder, Self.Process_, Now_, Ask, false, {}});
--- a/test/support/quota_fleet_base.h
+++ b/test/support/quota_fleet_base.h
@@ -68,11 +68,12 @@
     std::unique_ptr<QuotaLedger> Ledger_;
     std::unique_ptr<WorkspaceQuotas> Quotas_;
     uint64_t Version_ = 1;
-    unsigned Process_ = 0;   ///< Increases with each restart.
-    std::vector<bool> Sees_; ///< VMs that it takes to be alive.
-    Time PausedUntil_;       ///< End of the pause.
-    Time LastRun_;           ///< Last step that it ran.
-    std::deque<Time> Held_;  ///< Requests that wait.
+    uint64_t Incarnation_ = 0; ///< Start of the process.
+    unsigned Process_ = 0;     ///< Increases with each restart.
+    std::vector<bool> Sees_;   ///< VMs that it takes to be alive.
+    Time PausedUntil_;         ///< End of the pause.
+    Time LastRun_;             ///< Last step that it ran.
+    std::deque<Time> Held_;    ///< Requests that wait.
   };
 
   struct Message {
