Feature: [Workspace] Room is shared among workspaces when it is short

Cause: a workspace that sends many times its usual takes the room of the others, as the queue knows the value of a request but not whose it is.

Change: while a service can't start all that arrives, requests of workspaces that have used more than their weighted max-min share go behind the others of their rank. Weights are the rates of the quotas. Decided in src/workspace/fair_share, for each service of a VM; without workspaces nothing changes.

--- a/src/request/balancer_type.h
+++ b/src/request/balancer_type.h
@@ -49,6 +49,9 @@
   Time ObjectiveAt_;   ///< Arrival plus the latency objective.
   Time Deadline_;      ///< Time after which no response is useful.
   double Weight_ = 1;  ///< Value of a response within the objective.
+  /// Factor on the priority in the queue, below 1 if others have a right to go
+  /// first.
+  double FairFactor_ = 1;
   std::vector<std::string> HomeRegions_; ///< Allowed regions; empty for any.
   std::vector<std::string> ExcludedServers_; ///< Servers to exclude.
 };
--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -149,7 +149,8 @@
   Duration Work = getServiceTime(Request).HitTime_;
   bool InTime = Now + Work <= Request.ObjectiveAt_;
   double Value = Request.Weight_ * (InTime ? 1 : LateValueShare);
-  return Value * Request.Weight_ / std::chrono::duration<double>(Work).count();
+  return Value * Request.Weight_ * Request.FairFactor_ /
+         std::chrono::duration<double>(Work).count();
 }
 
 void ServiceBalancer::sortWaiting(Time Now) {
--- a/src/steering/client_flow_type.h
+++ b/src/steering/client_flow_type.h
@@ -9,6 +9,7 @@
 #include "version/routing_type.h"
 #include "version/server_record_type.h"
 #include "workspace/client_key_type.h"
+#include "workspace/fair_share_base.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -25,6 +26,7 @@
   std::string Name_;         ///< Name of the service.
   ServiceBalancer Balancer_; ///< Places requests on servers.
   RepeatBudget RetryBudget_; ///< Limits retries.
+  FairShare Fairness_;       ///< Divides room among workspaces.
   absl::flat_hash_map<std::string, ServerRecord> Servers_; ///< By instance id.
   std::unique_ptr<boost::asio::steady_timer>
       StepTimer_;                 ///< Next balancer step.
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -206,6 +206,7 @@
   Exchange->setDisconnectHandler(
       [this, At = Flow->Index_] { onClientGone(At); });
   Flow->Pool_->RetryBudget_.recordRequest(Exchange->getArrivalTime());
+  rankByFairShare(*Flow);
   ClientFlow &Open = *Flow;
   Flows_[Open.Index_.get()] = std::move(Flow);
   submit(Open);
--- a/src/steering/request_router_attempts.cpp
+++ b/src/steering/request_router_attempts.cpp
@@ -45,6 +45,12 @@
 
 } // namespace
 
+Duration RequestRouter::getExpectedWork(const ClientFlow &Flow) const {
+  return Flow.Pool_->Balancer_.getHistory()
+      .getEstimate(Flow.Request_.Route_, Flow.Route_->LatencyObjective_)
+      .HitTime_;
+}
+
 AttemptSpec RequestRouter::makeAttemptSpec(const ClientFlow &Flow,
                                            const ServerRecord &Server) const {
   RequestMessage Message = Flow.Exchange_->getMessage();
@@ -72,6 +78,9 @@
   ClientFlow &Flow = *Found->second;
   Time Now = getNow();
   Flow.IsQueued_ = false;
+  if (Flow.Workspace_)
+    Pool.Fairness_.recordStart(Flow.getWorkspaceName(), getExpectedWork(Flow),
+                               Now);
   if (Flow.ServerCount_ == 0) {
     Flow.QueueTime_ = Now - Flow.Request_.Arrived_;
     Metrics_.observeQueueTime(Pool.Name_, Flow.QueueTime_);
@@ -249,11 +258,8 @@
     return false;
   Time Now = getNow();
   ServicePool &Pool = *Flow.Pool_;
-  Duration Work =
-      Pool.Balancer_.getHistory()
-          .getEstimate(Flow.Request_.Route_, Flow.Route_->LatencyObjective_)
-          .HitTime_;
-  if (Flow.Request_.Deadline_ - Now < scaleDuration(Work, MinRetryTimeShare))
+  if (Flow.Request_.Deadline_ - Now <
+      scaleDuration(getExpectedWork(Flow), MinRetryTimeShare))
     return false;
   if (Outcome == AttemptOutcome::NotSent)
     --Flow.ServerCount_; // It reached no server, so it doesn't count as a
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -118,6 +118,8 @@
                                        const RouteConfig &Route,
                                        const WorkspaceConfig *Workspace,
                                        const platform::ClientRequestInfo &Info);
+  Duration getExpectedWork(const ClientFlow &Flow) const;
+  void rankByFairShare(ClientFlow &Flow);
   void submit(ClientFlow &Flow);
   void scheduleStep(ServicePool &Pool);
   void scheduleTimedStep(ServicePool &Pool);
