--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -135,6 +135,8 @@
   bool applyQuotaDecision(ClientFlow &Flow, const QuotaDecision &Decision);
   bool canRepeat(const ClientFlow &Flow, AttemptOutcome Outcome);
   void giveBackQuota(const ClientFlow &Flow, ResultCode Code);
+  Duration getExpectedWork(const ClientFlow &Flow) const;
+  void rankByFairShare(ClientFlow &Flow);
   void submit(ClientFlow &Flow);
   void scheduleStep(ServicePool &Pool);
   void scheduleTimedStep(ServicePool &Pool);
