--- a/test/fuzz/connection_fuzz.cpp
+++ b/test/fuzz/connection_fuzz.cpp
@@ -62,6 +62,7 @@
       At += Reader.consume(Bytes.substr(At, GetPiece()));
     if (Reader.getError())
       Result.Status_ = Reader.getError()->Status_;
+    if (!Reader.isComplete())
       break;
     Result.Messages_.push_back({Begin, At, std::move(Reader.getMessage())});
   }
