Fix: [Workspace] Requests beyond a quota don't count as demand for room

Cause: a request was counted for the division of room before its quota was decided, so that refusals for a quota looked like a shortage of room. Change: it is counted when it is queued. The guard workspace-name follows the code that acts now.

--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -197,7 +197,6 @@
   Exchange->setDisconnectHandler(
       [this, At = Flow->Index_] { onClientGone(At); });
   Flow->Pool_->RetryBudget_.recordRequest(Exchange->getArrivalTime());
-  rankByFairShare(*Flow);
   ClientFlow &Open = *Flow;
   Flows_[Open.Index_.get()] = std::move(Flow);
   admit(Open);
--- a/src/steering/request_router_fairness.cpp
+++ b/src/steering/request_router_fairness.cpp
@@ -6,7 +6,7 @@
 void RequestRouter::rankByFairShare(ClientFlow &Flow) {
   if (!Flow.Workspace_)
     return;
-  Time Now = Flow.Request_.Arrived_;
+  Time Now = getNow();
   FairShare &Fairness = Flow.Pool_->Fairness_;
   const std::string &Name = Flow.Workspace_->Name_;
   Fairness.recordArrival(Name, getFairWeight(*Flow.Config_, *Flow.Workspace_),
--- a/src/steering/request_router_workspaces.cpp
+++ b/src/steering/request_router_workspaces.cpp
@@ -35,6 +35,7 @@
   return std::visit(
       Overload{[&](const QuotaTaken &Taken) {
                  Flow.Quota_ = Taken;
+                 rankByFairShare(Flow);
                  submit(Flow);
                  return false;
                },
