Codechange: [Lint] What the linter found in the merged parts

A name built by concatenation, a container without a reserved size, and literals split behind a control character, which now use its escape. The bytes tested are the same.

--- a/src/steering/request_router_report.cpp
+++ b/src/steering/request_router_report.cpp
@@ -1,6 +1,8 @@
 /// \file request_router_report.cpp Demands for rate limits, logs and gauges.
 #include "steering/request_router_base.h"
 
+#include <absl/strings/str_cat.h>
+
 namespace cranberry {
 
 std::vector<RateDemand> RequestRouter::takeRateDemands() {
@@ -61,8 +63,8 @@
     for (const RegionShare &To : Pool->Balancer_.getDivider().getShares())
       Shares[To.Region_] = To.Share_;
     for (const auto &[Region, Share] : Shares)
-      Metrics_.setGauge("cranberry_divided_share", Name + " to " + Region,
-                        Share);
+      Metrics_.setGauge("cranberry_divided_share",
+                        absl::StrCat(Name, " to ", Region), Share);
   }
   Workspaces_.updateGauges(Metrics_);
   Metrics_.setGauge("cranberry_open_requests", "all",
--- a/test/unit/fair_share_test.cpp
+++ b/test/unit/fair_share_test.cpp
@@ -154,8 +154,10 @@
 /// Workspaces that use about 0.6 of the room together.
 std::vector<WorkspaceLoad> makeLoads(double HotFactor) {
   constexpr double Usual = 7;
+  constexpr int Modest = 9;
   std::vector<WorkspaceLoad> Result;
-  for (int I = 0; I < 9; ++I)
+  Result.reserve(Modest + 2);
+  for (int I = 0; I < Modest; ++I)
     Result.push_back({absl::StrCat("w", I), Usual});
   Result.push_back({"hot", Usual * HotFactor});
   Result.push_back({"small", 1});
--- a/test/unit/message_framing_test.cpp
+++ b/test/unit/message_framing_test.cpp
@@ -166,11 +166,8 @@
       {"GET with a body",
        "GET /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\na", 0, "a"},
   };
-  for (const char *Length :
-       {"+3", "-3", "3 3", "3,3", "3, 3", "0x3", "3.0", "", " ", "3;",
-        "\x0b"
-        "3",
-        "\"3\""})
+  for (const char *Length : {"+3", "-3", "3 3", "3,3", "3, 3", "0x3", "3.0", "",
+                             " ", "3;", "\v3", "\"3\""})
     Result.push_back(
         {std::string("Content-Length ") + Length,
          makePut(std::string("Content-Length: ") + Length + "\r\n", "abc"),
@@ -178,9 +175,7 @@
   for (const char *Coding :
        {"gzip", "identity", "chunked, identity", "chunked, chunked",
         "chunked, gzip", "", ",", "chunked,", ",chunked", "chunked;q=1",
-        "xchunked", "\"chunked\"", "chun ked",
-        "\x0b"
-        "chunked",
+        "xchunked", "\"chunked\"", "chun ked", "\vchunked",
         "gzip, chunked, chunked"})
     Result.push_back(
         {std::string("Transfer-Encoding ") + Coding,
