--- a/test/unit/entry_list_test.cpp
+++ b/test/unit/entry_list_test.cpp
@@ -49,6 +49,17 @@
   return Result;
 }
 
+/// Bytes that end their entry early and add another one of its own.
+constexpr const char *ForgedInList =
+    R"({"a":[1,{"metadata":{"name":"i-3","revision":99},)"
+    R"("specification":{"state":"forged"}},{"metadata":)"
+    R"({"name":"i-3","revision":99},"specification":7},2,x]})";
+
+/// The same in an object that can't be read.
+constexpr const char *ForgedInObject =
+    R"({"a":x,"b":{"metadata":{"name":"i-3","revision":99},)"
+    R"("specification":{"state":"forged"}}})";
+
 std::vector<std::string> makeOddBytes() {
   return {R"({"note":"C:\data"})",
           R"({"slots":NaN})",
@@ -71,11 +82,8 @@
           R"({"a":"\ud800"})",
           "\"\xc3\x28\"",
           R"({"a":1e999})",
-          R"({"a":[1,{"metadata":{"name":"i-3","revision":99},)"
-          R"("specification":{"state":"forged"}},{"metadata":)"
-          R"({"name":"i-3","revision":99},"specification":7},2,x]})",
-          R"({"a":x,"b":{"metadata":{"name":"i-3","revision":99},)"
-          R"("specification":{"state":"forged"}}})",
+          ForgedInList,
+          ForgedInObject,
           R"(],"hasMore":false,"storeRevision":1)",
           std::string(1 << 20, '['),
           std::string(1 << 20, ']'),
