Fix: [Store] A VM that missed a version hears of it, and refuses nobody for good

Unknown routes got 404 whatever the VM knew of its own state.

Change: heartbeats name the version in force; a VM that hears of a newer one fetches it from a VM that has it if its own source is late, and answers 503 for unknown routes and keys meanwhile. Reject lines name the newest version heard of and the age of the VM's knowledge.

A check that asked for 401 for a missing key at a VM that may be behind was wrong, as a newer version may serve the route without a key: it asks for 503 now, and for 401 at a VM that is up to date.

--- a/src/core/result_type.h
+++ b/src/core/result_type.h
@@ -77,9 +77,10 @@
   WorkspaceKeyMissing = 336, ///< The request needs an API key and has none.
   WorkspaceKeyUnknown = 337, ///< No workspace holds the API key.
   WorkspaceKeyUnverified =
-      338,             ///< The API key is unknown here, but may be a new one.
-  HomesDisjoint = 339, ///< No region is a home of both route and workspace.
-  QuotaExceeded = 340, ///< The workspace's quota is used up for the moment.
+      338,               ///< The API key is unknown here, but may be a new one.
+  HomesDisjoint = 339,   ///< No region is a home of both route and workspace.
+  QuotaExceeded = 340,   ///< The workspace's quota is used up for the moment.
+  RouteUnverified = 341, ///< No route matches, but there may be a new one.
   PlatformUnreachable = 401,    ///< The platform did not receive the call.
   PlatformOutcomeUnknown = 402, ///< The write may have been applied.
   PlatformRefused = 403,        ///< The platform rejected the call.
--- /dev/null
+++ b/src/process/peer_version_tracker.cpp
@@ -0,0 +1,44 @@
+/// \file peer_version_tracker.cpp Configuration versions that other entry VMs
+/// have in force.
+#include "process/peer_version_tracker_base.h"
+
+#include <algorithm>
+
+namespace cranberry {
+
+void PeerVersionTracker::setInForce(uint64_t Version) {
+  InForce_ = Version;
+  Newer_.erase(Newer_.begin(), Newer_.upper_bound(Version));
+}
+
+void PeerVersionTracker::recordReport(uint64_t Version, Time Now) {
+  if (Version <= InForce_ || !Newer_.try_emplace(Version, Now).second)
+    return;
+  if (Newer_.size() > MaxVersions)
+    Newer_.erase(Newer_.begin());
+}
+
+bool PeerVersionTracker::isBehind(Time Now) const {
+  return std::any_of(Newer_.begin(), Newer_.end(), [Now](const auto &Each) {
+    return Now - Each.second < MaxDoubt;
+  });
+}
+
+bool PeerVersionTracker::startFetch(uint64_t Version, Time Now) {
+  if (Version <= InForce_ || Now - LastFetch_ < FetchInterval)
+    return false;
+  bool IsDue =
+      std::any_of(Newer_.begin(), Newer_.end(), [Now](const auto &Each) {
+        Duration Age = Now - Each.second;
+        return Age >= FetchDelay && Age < MaxDoubt;
+      });
+  if (IsDue)
+    LastFetch_ = Now;
+  return IsDue;
+}
+
+uint64_t PeerVersionTracker::getNewest() const {
+  return Newer_.empty() ? InForce_ : Newer_.rbegin()->first;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/steering/config_exchange_base.h
@@ -0,0 +1,54 @@
+/// \file config_exchange_base.h Configurations that other entry VMs have in
+/// force.
+#ifndef CRANBERRY_STEERING_CONFIG_EXCHANGE_BASE_H
+#define CRANBERRY_STEERING_CONFIG_EXCHANGE_BASE_H
+
+#include "net/http_client_base.h"
+#include "net/ingress_server_base.h"
+#include "observe/event_log_base.h"
+#include "process/peer_version_tracker_base.h"
+#include "steering/store_view_base.h"
+
+#include <string>
+
+namespace cranberry {
+
+/// Fetches a configuration from another entry VM if that one reports a newer
+/// version than this VM's source of updates has supplied, and serves its own.
+class ConfigExchange {
+public:
+  /// Path of requests for the configuration on the port for other entry VMs.
+  static constexpr const char *Path = "/v1/config";
+
+  ConfigExchange(boost::asio::io_context &Loop, StoreView &View, EventLog &Log);
+
+  /// \param Version Version that has taken effect here.
+  void setInForce(uint64_t Version) { Versions_.setInForce(Version); }
+
+  /// Handles a report of the version that another VM has in force.
+  /// \param Peer Its peer address.
+  void onVersionReported(const std::string &Peer, uint64_t Version);
+
+  /// \return Versions that other VMs have reported.
+  const PeerVersionTracker &getVersions() const { return Versions_; }
+
+  /// \return Number of configurations that were fetched and applied.
+  uint64_t getAppliedCount() const { return AppliedCount_; }
+
+  /// Handles a request for the configuration.
+  /// \return Whether \p Exchange is one.
+  bool handleRequest(const IngressExchangePtr &Exchange) const;
+
+private:
+  void fetch(const std::string &Peer, uint64_t Version);
+
+  StoreView &View_;             ///< Configuration in force.
+  EventLog &Log_;               ///< Event log.
+  PeerVersionTracker Versions_; ///< Versions of other VMs.
+  HttpClient Client_;           ///< Connections to other VMs.
+  uint64_t AppliedCount_ = 0;   ///< See getAppliedCount().
+};
+
+} // namespace cranberry
+
+#endif
--- a/src/steering/peer_exchange.cpp
+++ b/src/steering/peer_exchange.cpp
@@ -73,10 +73,12 @@
     std::optional<HeartbeatBody> Body;
     if (Result.Code_ == ResultCode::Ok)
       Body = decodeHeartbeat(Result.Body_);
-    if (Body)
+    if (Body) {
       Membership_.handleHeartbeatResponse(*Body, getNow());
-    else
+      notifyVersion(Body->Sender_);
+    } else {
       Membership_.recordHeartbeatFailure(Address, getNow());
+    }
     notifyIfChanged();
   });
 }
@@ -102,9 +104,15 @@
   }
   HeartbeatBody Answer = Membership_.handleHeartbeat(*Body, getNow());
   Exchange->respond(makeResponse(Ok, encodeHeartbeat(Answer)));
+  notifyVersion(Body->Sender_);
   notifyIfChanged();
 }
 
+void PeerExchange::notifyVersion(const Member &Sender) const {
+  if (OnVersion_)
+    OnVersion_(Sender.PeerAddress_, Sender.Revision_);
+}
+
 void PeerExchange::notifyIfChanged() {
   if (Membership_.getViewVersion() == NotifiedViewVersion_)
     return;
--- a/src/steering/peer_exchange_base.h
+++ b/src/steering/peer_exchange_base.h
@@ -56,6 +56,17 @@
     Membership_.setDemand(std::move(Demand));
   }
 
+  /// Reports the version of the configuration in force with the next
+  /// heartbeats.
+  void setConfigVersion(uint64_t Version) { Membership_.setRevision(Version); }
+
+  /// \param Handler Called with the peer address of each VM that sends a
+  /// heartbeat, and the version of the configuration that it has in force.
+  void setVersionHandler(
+      std::function<void(const std::string &, uint64_t)> Handler) {
+    OnVersion_ = std::move(Handler);
+  }
+
   /// Announces to all members that this VM is leaving.
   void announceLeave();
 
@@ -69,11 +80,14 @@
   void sendHeartbeat(const std::string &Address);
   void handleRequest(const IngressExchangePtr &Exchange);
   void notifyIfChanged();
-
-  Duration Period_;                  ///< Time between two rounds.
-  EventLog &Log_;                    ///< Event log.
-  std::function<void()> OnChange_;   ///< See the constructor.
-  IngressHandler RequestHandler_;    ///< Handles other requests.
+  void notifyVersion(const Member &Sender) const;
+
+  Duration Period_;                ///< Time between two rounds.
+  EventLog &Log_;                  ///< Event log.
+  std::function<void()> OnChange_; ///< See the constructor.
+  IngressHandler RequestHandler_;  ///< Handles other requests.
+  std::function<void(const std::string &, uint64_t)>
+      OnVersion_;                    ///< See setVersionHandler().
   Membership Membership_;            ///< Tracks the state of members.
   uint64_t NotifiedViewVersion_ = 0; ///< Last version reported.
   /// States that were reported, by VM.
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -105,6 +105,7 @@
                            const std::string &Id, ResultCode Code,
                            const ClientKey &Key) {
   const RequestMessage &Message = Exchange->getMessage();
+  ConfigCurrency Currency = getCurrency();
   Metrics_.countRequest("", Code);
   Log_.write(Exchange->getArrivalTime(), "reject",
              {{"request", Id},
@@ -112,7 +113,9 @@
               {"result", getName(Code)},
               {"host", toString(Message[http::field::host])},
               {"key", Key.Fingerprint_},
-              {"version", Config_ ? Config_->Version_ : 0}});
+              {"version", Config_ ? Config_->Version_ : 0},
+              {"newest", Currency.Newest_},
+              {"ageMs", Currency.Age_}});
   auto Status = static_cast<unsigned>(getHttpStatus(Code));
   ResponseMessage Response = makeResponse(Status, "");
   if (isNotRunStatus(Status))
@@ -168,14 +171,17 @@
   std::optional<size_t> Index = Routes_.find(
       toString(Message[http::field::host]), toString(Message.target()));
   if (!Index) {
-    reject(Exchange, Info.AttemptId_, ResultCode::RouteUnknown);
+    reject(Exchange, Info.AttemptId_,
+           getCurrency().IsCurrent_ ? ResultCode::RouteUnknown
+                                    : ResultCode::RouteUnverified);
     return;
   }
   const RouteConfig &Route = Config_->Routes_[*Index];
   ClientKey Key;
   if (Workspaces_.isActive())
     Key = platform::takeClientKey(Message);
-  AccessDecision Access = Workspaces_.check(Route, Key);
+  AccessDecision Access =
+      Workspaces_.check(Route, Key, getCurrency().IsCurrent_);
   if (Access.Code_ == ResultCode::Ok &&
       getAllowedRegions(Route, Access.Workspace_).IsEmpty_)
     Access.Code_ = ResultCode::HomesDisjoint;
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -22,6 +22,13 @@
 
 namespace cranberry {
 
+/// Whether this VM would know of a newer configuration than the one in force.
+struct ConfigCurrency {
+  bool IsCurrent_ = true; ///< False if there may be a newer one.
+  Duration Age_{0};       ///< Time since the store's state was last read.
+  uint64_t Newest_ = 0;   ///< Newest version that any VM has reported.
+};
+
 /// Routes client requests and carries out the decisions of the balancers, for
 /// all services of an entry VM.
 class RequestRouter {
@@ -53,6 +60,12 @@
   /// one responds at its address.
   void setOnLeaving(LeavingHandler Action) { OnLeaving_ = std::move(Action); }
 
+  /// \param Query Tells whether this VM would know of a newer configuration.
+  /// If not, what the one in force doesn't allow is refused only for now.
+  void setConfigCurrencyQuery(std::function<ConfigCurrency()> Query) {
+    GetCurrency_ = std::move(Query);
+  }
+
   /// Records a failure, after which traffic may move to other regions.
   void recordFailure() { ShiftGate_.recordFailure(getNow()); }
 
@@ -124,6 +137,9 @@
   ServicePool &getPool(const std::string &Service);
   void reject(const IngressExchangePtr &Exchange, const std::string &Id,
               ResultCode Code, const ClientKey &Key = {});
+  ConfigCurrency getCurrency() const {
+    return GetCurrency_ ? GetCurrency_() : ConfigCurrency();
+  }
   void refuseWithdrawnKeys();
   std::string pickService(const RouteConfig &Route);
   std::unique_ptr<ClientFlow> makeFlow(const IngressExchangePtr &Exchange,
@@ -181,9 +197,10 @@
   std::map<std::string, std::unique_ptr<ServicePool>> Pools_; ///< By service.
   std::map<std::string, WeightedRoundRobin> Pickers_;         ///< By route.
   absl::flat_hash_map<uint64_t, std::unique_ptr<ClientFlow>>
-      Flows_;                           ///< Requests in flight.
-  LeavingHandler OnLeaving_;            ///< See the setter.
-  std::function<void()> OnRateLimit_;   ///< See the setter.
+      Flows_;                                   ///< Requests in flight.
+  LeavingHandler OnLeaving_;                    ///< See the setter.
+  std::function<ConfigCurrency()> GetCurrency_; ///< See the setter.
+  std::function<void()> OnRateLimit_;           ///< See the setter.
   RegionDemand Demand_;                 ///< Demand of all entry VMs' clients.
   Time ShutdownDeadline_ = Time::max(); ///< Latest deadline during shutdown.
   uint64_t NextFlow_ = 1;               ///< Index of the next flow.
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -57,7 +57,8 @@
       Peers_(Loop_, makeSelf(Incarnation), Settings_.HeartbeatPeriod_, Log_,
              [this] { onMembersChanged(); }),
       RateShares_(Loop_, Router_, Peers_, Log_),
-      Quotas_(Loop_, Router_.getWorkspaces(), Peers_, Log_), VmLoad_(Settings_),
+      Quotas_(Loop_, Router_.getWorkspaces(), Peers_, Log_),
+      Configs_(Loop_, View_, Log_), VmLoad_(Settings_),
       ClientPort_(
           Loop_,
           [this](const IngressExchangePtr &E) { Router_.handleRequest(E); }),
@@ -80,8 +81,10 @@
   Quotas_.applySettings(Settings_);
   Peers_.setRequestHandler(
       [this](const IngressExchangePtr &E) { handlePeerRequest(E); });
-  Router_.getWorkspaces().setConfigCurrentPredicate(
-      [this] { return View_.isConfigCurrent(getNow()); });
+  Peers_.setVersionHandler([this](const std::string &Peer, uint64_t Version) {
+    Configs_.onVersionReported(Peer, Version);
+  });
+  Router_.setConfigCurrencyQuery([this] { return getConfigCurrency(); });
   Router_.setOnLeaving([this](const std::string &Server, int64_t StartTimeMs) {
     bool IsNews = View_.recordLeaving(Server, StartTimeMs);
     updateRouterServers();
@@ -178,7 +181,16 @@
   Log_.flush();
 }
 
+ConfigCurrency SteeringVm::getConfigCurrency() const {
+  Time Now = getNow();
+  const PeerVersionTracker &Versions = Configs_.getVersions();
+  return {View_.isConfigCurrent(Now) && !Versions.isBehind(Now),
+          View_.getServerAge(Now), Versions.getNewest()};
+}
+
 void SteeringVm::applyConfig(const RoutingConfigPtr &Config) {
+  Configs_.setInForce(Config->Version_);
+  Peers_.setConfigVersion(Config->Version_);
   Router_.setRouting(Config);
   const ClientLimits &Limits = Config->Limits_;
   ClientPort_.setLimits({Limits.HeaderBytes_, Limits.BodyBytes_,
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -8,6 +8,7 @@
 #include "observe/metrics_base.h"
 #include "platform/store_client_base.h"
 #include "process/store_source_selector_base.h"
+#include "steering/config_exchange_base.h"
 #include "steering/peer_exchange_base.h"
 #include "steering/quota_exchange_base.h"
 #include "steering/rate_share_exchange_base.h"
@@ -62,6 +63,7 @@
   void waitForSignal();
   void startShutdown();
   void pollShutdown();
+  ConfigCurrency getConfigCurrency() const;
   bool isReady() const { return View_.isComplete() && !IsStopping_; }
   void handlePeerRequest(const IngressExchangePtr &Exchange);
   void handleReadiness(const IngressExchangePtr &Exchange);
@@ -85,6 +87,7 @@
   PeerExchange Peers_;           ///< Heartbeats with other entry VMs.
   RateShareExchange RateShares_; ///< Shares of servers' request rates.
   QuotaExchange Quotas_;         ///< Leases of workspaces' quotas.
+  ConfigExchange Configs_;       ///< Configurations of other entry VMs.
   VmLoadMonitor VmLoad_;         ///< Load of this VM.
   IngressServer ClientPort_;     ///< Port for clients.
   IngressServer ReadinessPort_;  ///< Port for readiness checks.
--- a/src/steering/steering_vm_ports.cpp
+++ b/src/steering/steering_vm_ports.cpp
@@ -22,7 +22,8 @@
 void SteeringVm::handlePeerRequest(const IngressExchangePtr &Exchange) {
   if (Exchange->getMessage().target() == RateShareExchange::Path)
     RateShares_.handleReport(Exchange);
-  else if (!Quotas_.handleRequest(Exchange))
+  else if (!Quotas_.handleRequest(Exchange) &&
+           !Configs_.handleRequest(Exchange))
     View_.handleRelayRequest(Exchange);
 }
 
@@ -60,6 +61,10 @@
   Router_.updateGauges();
   Metrics_.setGauge("cranberry_config_version", "force",
                     static_cast<double>(View_.getVersion()));
+  Metrics_.setGauge("cranberry_config_version", "newest",
+                    static_cast<double>(Configs_.getVersions().getNewest()));
+  Metrics_.setGauge("cranberry_config_fetched", "all",
+                    static_cast<double>(Configs_.getAppliedCount()));
   Metrics_.setGauge("cranberry_entry_vms", "known",
                     static_cast<double>(MemberCount_));
   Metrics_.setGauge("cranberry_vm_use", "all", VmLoad_.getUse());
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -300,9 +300,26 @@
               {"revision", Next->Revision_},
               {"routes", static_cast<uint64_t>(Next->Routes_.size())}});
   Config_ = Next;
+  ConfigObject_ = Object;
   Handlers_.OnConfig_(Next);
 }
 
+bool StoreView::applyRelayed(const std::string &Page, Reason &Why) {
+  std::optional<platform::StorePage> Decoded = platform::decodePage(Page, Why);
+  uint64_t Before = getVersion();
+  if (Decoded)
+    for (const StoreObject &Object : Decoded->Objects_)
+      applyConfig(Object);
+  return getVersion() > Before;
+}
+
+std::string StoreView::encodeActiveConfig() const {
+  if (!Config_)
+    return "";
+  return platform::encodePage(
+      {{ConfigObject_}, false, ConfigObject_.Revision_, {}});
+}
+
 void StoreView::applyServerList(const std::vector<StoreObject> &Objects) {
   std::vector<ServerRecord> Records;
   for (const StoreObject &Object : Objects) {
--- a/src/steering/store_view_base.h
+++ b/src/steering/store_view_base.h
@@ -44,6 +44,8 @@
 /// The last known state stays in use while the store is unavailable.
 class StoreView {
 public:
+  using StoreObject = platform::StoreObject;
+
   StoreView(boost::asio::io_context &Loop, platform::StoreClient &Store,
             const Settings &Config, EventLog &Log, StoreViewHandlers Handlers);
 
@@ -83,6 +85,15 @@
   /// \return Version of the active configuration, or 0.
   uint64_t getVersion() const { return Config_ ? Config_->Version_ : 0; }
 
+  /// Applies a page of the configuration that another VM has in force.
+  /// \param[out] Why Set if the page can't be read.
+  /// \return Whether a newer version has taken effect.
+  bool applyRelayed(const std::string &Page, Reason &Why);
+
+  /// \return The configuration in force, for applyRelayed() at another VM;
+  /// empty without one.
+  std::string encodeActiveConfig() const;
+
   /// \return Time since the servers were last read.
   Duration getServerAge(Time Now) const { return ServerFollower_.getAge(Now); }
 
@@ -96,8 +107,8 @@
   FollowHandlers makeConfigHandlers();
   FollowHandlers makeServerHandlers();
   FollowHandlers makeEvacuationHandlers();
-  void applyConfig(const platform::StoreObject &Object);
-  void applyServerList(const std::vector<platform::StoreObject> &Objects);
+  void applyConfig(const StoreObject &Object);
+  void applyServerList(const std::vector<StoreObject> &Objects);
   void applyServerChange(const platform::StoreChange &Change);
   void applyEvacuations();
   void onNewEra(const StoreFollower &Source);
@@ -116,6 +127,7 @@
   EvacuationSet Evacuations_;        ///< Zones that get no requests.
   platform::StoreEra Era_ = 0;       ///< Latest era of the store.
   RoutingConfigPtr Config_;          ///< Active configuration.
+  StoreObject ConfigObject_;         ///< Object that Config_ was decoded from.
   bool HaveServersChanged_ = false;  ///< Whether to call OnServers_.
   StoreFollower ConfigFollower_;     ///< Follows the configuration.
   StoreFollower ServerFollower_;     ///< Follows the servers.
--- a/src/steering/workspace_admission.cpp
+++ b/src/steering/workspace_admission.cpp
@@ -33,9 +33,9 @@
 }
 
 AccessDecision WorkspaceAdmission::check(const RouteConfig &Route,
-                                         const ClientKey &Key) const {
-  return checkAccess(*Config_, Keys_, Route, Key,
-                     !IsConfigCurrent_ || IsConfigCurrent_());
+                                         const ClientKey &Key,
+                                         bool IsConfigCurrent) const {
+  return checkAccess(*Config_, Keys_, Route, Key, IsConfigCurrent);
 }
 
 bool WorkspaceAdmission::isStillAdmitted(
--- a/src/steering/workspace_admission_base.h
+++ b/src/steering/workspace_admission_base.h
@@ -22,17 +22,15 @@
   /// Applies a version of the configuration.
   void setRouting(const RoutingConfigPtr &Config);
 
-  /// \param Predicate Whether this VM would know of a newer configuration.
-  void setConfigCurrentPredicate(std::function<bool()> Predicate) {
-    IsConfigCurrent_ = std::move(Predicate);
-  }
-
   /// \return Whether requests need API keys.
   bool isActive() const { return Config_ && Config_->HasWorkspaces_; }
 
   /// Identifies the workspace of a request.
   /// \param Route Route in the configuration in force.
-  AccessDecision check(const RouteConfig &Route, const ClientKey &Key) const;
+  /// \param IsConfigCurrent Whether this VM would know of a newer
+  /// configuration.
+  AccessDecision check(const RouteConfig &Route, const ClientKey &Key,
+                       bool IsConfigCurrent) const;
 
   /// \return Whether a request that was admitted earlier may still be sent to
   /// a server: its key has not been withdrawn.
@@ -90,7 +88,6 @@
   };
 
   EventLog &Log_;                                 ///< Event log.
-  std::function<bool()> IsConfigCurrent_;         ///< See the setter.
   RoutingConfigPtr Config_;                       ///< Configuration in force.
   WorkspaceQuotas Quotas_;                        ///< Leases of quotas.
   std::deque<HeldRequest> Held_;                  ///< Requests that wait.
--- a/src/workspace/access_check.cpp
+++ b/src/workspace/access_check.cpp
@@ -17,10 +17,11 @@
     return {ResultCode::Ok, &Config.Workspaces_[*Found]};
   if (Route.IsAnonymous_)
     return {};
-  if (!Key.Digest_)
-    return {ResultCode::WorkspaceKeyMissing, nullptr};
-  return {IsConfigCurrent ? ResultCode::WorkspaceKeyUnknown
-                          : ResultCode::WorkspaceKeyUnverified,
+  // A newer configuration may hold the key, or serve the route without one.
+  if (!IsConfigCurrent)
+    return {ResultCode::WorkspaceKeyUnverified, nullptr};
+  return {Key.Digest_ ? ResultCode::WorkspaceKeyUnknown
+                      : ResultCode::WorkspaceKeyMissing,
           nullptr};
 }
 
--- a/standin/fault_type.h
+++ b/standin/fault_type.h
@@ -35,7 +35,9 @@
   Cut,    ///< Closes connections and refuses new ones.
   Silent, ///< Accepts connections but relays nothing on any.
   Stuck,  ///< Stalls existing connections; relays on new ones.
-  Flood,  ///< Responds to data with a body without an end.
+  /// Stalls existing connections on which a response is awaited.
+  StuckWaiting,
+  Flood, ///< Responds to data with a body without an end.
 };
 
 } // namespace cranberry::standin
--- a/standin/link_base.h
+++ b/standin/link_base.h
@@ -46,6 +46,7 @@
     std::deque<Chunk> Back_; ///< Data for the connecting side.
     bool IsFlooded_ = false; ///< Whether the response without an end began.
     bool Stuck_ = false;     ///< Whether it is stalled for good.
+    bool IsWaiting_ = false; ///< Whether the connecting side awaits a response.
     bool NearEnded_ = false; ///< Connecting side has closed.
     bool FarEnded_ = false;  ///< Target has closed.
   };
@@ -64,11 +65,12 @@
   int Listen_ = -1;                            ///< Listening socket.
   std::vector<std::unique_ptr<Flow>> Flows_;   ///< Open connections.
   std::atomic<LinkMode> Mode_{LinkMode::Pass}; ///< Current mode.
-  std::atomic<bool> MarkStuck_{false};  ///< Existing connections are to stall.
-  std::atomic<int64_t> DelayMicros_{0}; ///< One-way delay, microseconds.
-  std::atomic<uint64_t> Bytes_{0};      ///< Number of bytes delivered.
-  std::atomic<bool> Stopping_{false};   ///< Ends the thread.
-  std::thread Thread_;                  ///< Runs the relay loop.
+  std::atomic<bool> MarkStuck_{false};   ///< Existing connections are to stall.
+  std::atomic<bool> MarkWaiting_{false}; ///< The same if a response is awaited.
+  std::atomic<int64_t> DelayMicros_{0};  ///< One-way delay, microseconds.
+  std::atomic<uint64_t> Bytes_{0};       ///< Number of bytes delivered.
+  std::atomic<bool> Stopping_{false};    ///< Ends the thread.
+  std::thread Thread_;                   ///< Runs the relay loop.
 };
 
 } // namespace cranberry::standin
--- /dev/null
+++ b/test/unit/peer_version_test.cpp
@@ -0,0 +1,84 @@
+/// \file peer_version_test.cpp Versions that other entry VMs report.
+#include "process/peer_version_tracker_base.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberry;
+
+namespace {
+
+constexpr Time Start = Time(seconds(1000));
+
+} // namespace
+
+TEST_CASE("peer version: a VM is behind until the version is in force") {
+  PeerVersionTracker Versions;
+  Versions.setInForce(5);
+  Versions.recordReport(5, Start);
+  Versions.recordReport(4, Start);
+  CHECK_FALSE(Versions.isBehind(Start));
+  CHECK(Versions.getNewest() == 5);
+  Versions.recordReport(7, Start);
+  CHECK(Versions.isBehind(Start));
+  CHECK(Versions.getNewest() == 7);
+  Versions.setInForce(6);
+  CHECK(Versions.isBehind(Start));
+  Versions.setInForce(7);
+  CHECK_FALSE(Versions.isBehind(Start));
+  CHECK(Versions.getNewest() == 7);
+}
+
+TEST_CASE("peer version: the usual source has time before another VM is asked, "
+          "and few ask at a time") {
+  PeerVersionTracker Versions;
+  Versions.setInForce(5);
+  Versions.recordReport(7, Start);
+  CHECK_FALSE(Versions.startFetch(7, Start));
+  Time Due = Start + PeerVersionTracker::FetchDelay;
+  CHECK_FALSE(Versions.startFetch(7, Due - milliseconds(1)));
+  CHECK_FALSE(Versions.startFetch(5, Due)); // Has nothing newer.
+  CHECK(Versions.startFetch(7, Due));
+  CHECK_FALSE(Versions.startFetch(7, Due + milliseconds(1)));
+  CHECK(Versions.startFetch(7, Due + PeerVersionTracker::FetchInterval));
+  Versions.setInForce(7);
+  CHECK_FALSE(Versions.startFetch(7, Due + seconds(2)));
+}
+
+TEST_CASE(
+    "peer version: versions in quick succession don't put off the fetch") {
+  PeerVersionTracker Versions;
+  Versions.setInForce(1);
+  Time Now = Start;
+  bool IsFetched = false;
+  for (uint64_t Version = 2; Version < 8; ++Version) {
+    Now += PeerVersionTracker::FetchDelay / 2;
+    Versions.recordReport(Version, Now);
+    IsFetched = IsFetched || Versions.startFetch(Version, Now);
+  }
+  CHECK(IsFetched);
+}
+
+TEST_CASE("peer version: a version that nobody supplies counts for a limited "
+          "time") {
+  PeerVersionTracker Versions;
+  Versions.setInForce(5);
+  Time Now = Start;
+  for (; Now < Start + PeerVersionTracker::MaxDoubt; Now += seconds(1)) {
+    Versions.recordReport(1000000, Now);
+    CHECK(Versions.isBehind(Now));
+  }
+  Versions.recordReport(1000000, Now);
+  CHECK_FALSE(Versions.isBehind(Now));
+  CHECK_FALSE(Versions.startFetch(1000000, Now));
+  // A later change counts again.
+  Versions.recordReport(1000001, Now);
+  CHECK(Versions.isBehind(Now));
+}
+
+TEST_CASE("peer version: reports take limited memory, and the newest stays") {
+  PeerVersionTracker Versions;
+  for (uint64_t Version = 1; Version <= 1000; ++Version)
+    Versions.recordReport(Version, Start);
+  CHECK(Versions.getNewest() == 1000);
+  CHECK(Versions.isBehind(Start));
+}
