Fix: [Request] The first requests follow the division whichever comes first, and a peak among them allows no growth

A VM that starts may follow the division without a limit for 2 s, but only if the first request of all was divided and sent elsewhere; a short one, or one that stays, closed that time at once. And the highest share among the first requests counted as the base for later growth, in place of their mean.

--- a/src/request/region_shift_limiter.cpp
+++ b/src/request/region_shift_limiter.cpp
@@ -23,9 +23,9 @@
 void RegionShiftLimiter::endStart() {
   StartsUntil_ = Time();
   for (Region &Each : Regions_)
-    if (TotalRequests_ > 0)
+    if (FirstRequests_ > 0)
       Each.RecentShare_ =
-          std::max(Each.RecentShare_, Each.Requests_ / TotalRequests_);
+          std::max(Each.RecentShare_, Each.FirstRequests_ / FirstRequests_);
 }
 
 void RegionShiftLimiter::advance(Time Now) {
@@ -65,10 +65,14 @@
   }
   if (Now < UnlimitedUntil_)
     return true;
-  if (IsStanding && Now - LastStart_ >= GrowthPeriod)
-    StartsUntil_ = Now + GrowthPeriod;
-  if (IsStanding && Now < StartsUntil_)
-    return true;
+  if (IsStanding) {
+    // The first request of all may be one that isn't divided.
+    Time First = Now - LastStart_ >= GrowthPeriod ? Now : FirstStart_;
+    if (Now < First + GrowthPeriod) {
+      StartsUntil_ = First + GrowthPeriod;
+      return true;
+    }
+  }
   advance(Now);
   const Region &To = getRegion(RegionName);
   return (To.Requests_ + 1) / (TotalRequests_ + 1) <=
@@ -95,17 +99,28 @@
   Step &Last = Steps_.back();
   Last.TotalRequests_ += 1;
   TotalRequests_ += 1;
+  if (Now - LastStart_ >= GrowthPeriod) {
+    FirstStart_ = Now;
+    FirstRequests_ = 0;
+    for (Region &Each : Regions_)
+      Each.FirstRequests_ = 0;
+  }
   LastStart_ = Now;
+  bool IsFirst = Now < FirstStart_ + GrowthPeriod;
+  FirstRequests_ += IsFirst ? 1 : 0;
   if (RegionName.empty())
     return;
   Region &To = getRegion(RegionName);
   Last.RequestsByRegion_.resize(Regions_.size());
   Last.RequestsByRegion_[static_cast<size_t>(&To - Regions_.data())] += 1;
   To.Requests_ += 1;
+  To.FirstRequests_ += IsFirst ? 1 : 0;
   double Share = To.Requests_ / TotalRequests_;
-  if (Share <= To.RecentShare_)
+  bool IsUnlimited = Now < UnlimitedUntil_;
+  // Later shares are compared with the mean of the first ones. A peak among
+  // these would allow the mean to grow without a limit.
+  if (Share <= To.RecentShare_ || (isStarting(Now) && !IsUnlimited))
     return;
-  bool IsUnlimited = Now < std::max(UnlimitedUntil_, StartsUntil_);
   if (IsUnlimited && TotalRequests_ < MinSampleSize)
     return; // One of the first requests alone would be a share of all.
   if (!IsUnlimited)
--- a/src/request/region_shift_limiter_base.h
+++ b/src/request/region_shift_limiter_base.h
@@ -45,6 +45,9 @@
   bool canSendTo(std::string_view RegionName, Time Now,
                  bool IsStanding = false);
 
+  /// \return Whether the first requests follow the division, see canSendTo().
+  bool isStarting(Time Now) const { return Now < StartsUntil_; }
+
   /// \return Whether the share of \p RegionName has fallen by more than the
   /// limit, so that requests should go there even if this region has room.
   bool isFallingTooFast(std::string_view RegionName, Time Now);
@@ -52,10 +55,11 @@
 private:
   /// Traffic to another region.
   struct Region {
-    std::string Name_;       ///< Region name.
-    double Requests_ = 0;    ///< Requests within the window.
-    double RecentShare_ = 0; ///< Highest recent share.
-    Time ReachedAt_;         ///< Last time at that share.
+    std::string Name_;         ///< Region name.
+    double Requests_ = 0;      ///< Requests within the window.
+    double RecentShare_ = 0;   ///< Highest recent share.
+    Time ReachedAt_;           ///< Last time at that share.
+    double FirstRequests_ = 0; ///< Part of RegionShiftLimiter::FirstRequests_.
   };
 
   /// Counts for a part of the window.
@@ -95,7 +99,9 @@
   Time UnlimitedUntil_;         ///< The limit is lifted until then.
   /// Until then, requests may follow the standing division without a limit.
   Time StartsUntil_;
-  Time LastStart_;                 ///< Time of the last request.
+  double FirstRequests_ = 0; ///< Requests in a GrowthPeriod from FirstStart_.
+  Time FirstStart_;          ///< First request after a pause.
+  Time LastStart_;           ///< Time of the last request.
   bool IsLiftedFromFirst_ = false; ///< See liftFromFirstRequest().
 };
 
--- a/test/unit/region_division_test.cpp
+++ b/test/unit/region_division_test.cpp
@@ -9,7 +9,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <cmath>
+#include <deque>
 #include <map>
 #include <numbers>
 #include <random>
@@ -345,6 +347,71 @@
   CHECK(Away <= 100 * ShiftBound);
 }
 
+// Guards against a VM that followed the division with its first request or not
+// at all: a request with a short objective, which isn't divided, came first.
+TEST_CASE("balancer: the first requests follow the division, whichever comes "
+          "first") {
+  RegionShiftLimiter Limiter(0.85 * ShiftBound);
+  ServiceBalancer Balancer(Limiter);
+  Balancer.getDivider().setRegions("inner", EqualDemand, ShiftBound);
+  Balancer.setServers(makeServers("inner", UnevenCounts));
+  Time Now{seconds(100)};
+  constexpr Duration Work = milliseconds(300);
+  struct Run {
+    StartAttempt Start_;
+    Time End_;
+  };
+  std::deque<Run> Running;
+  std::array<unsigned, 2> Away{};
+  constexpr unsigned Requests = 100;
+  Balancer.submit(makeRequest(1000, Now, milliseconds(300)));
+  CHECK(Balancer.step(Now).size() == 1);
+  for (uint64_t Key = 1; Key <= 2 * Requests; ++Key) {
+    Now += milliseconds(20);
+    for (; !Running.empty() && Running.front().End_ <= Now;
+         Running.pop_front()) {
+      EndedAttempt Ended;
+      Ended.Flow_ = Running.front().Start_.Flow_;
+      Ended.Route_ = 1;
+      Ended.Objective_ = seconds(1);
+      Ended.Server_ = Running.front().Start_.Server_;
+      Ended.Outcome_ = ServerAttemptOutcome::Served;
+      Ended.Ran_ = Work;
+      Balancer.endAttempt(Ended, Now);
+    }
+    Balancer.submit(makeRequest(Key, Now));
+    for (const BalancerAction &Action : Balancer.step(Now))
+      if (const auto *Start = std::get_if<StartAttempt>(&Action)) {
+        Running.push_back({*Start, Now + Work});
+        Away[Key <= Requests ? 0 : 1] +=
+            Start->Proximity_ == Proximity::OtherRegion ? 1 : 0;
+      }
+  }
+  // 0.3 of the slots needed are here.
+  CHECK(Away[0] > 0.5 * Requests);
+  CHECK(Away[0] < 0.9 * Requests);
+  CHECK(Away[1] <= Away[0] + ShiftBound * Requests);
+}
+
+TEST_CASE(
+    "shift: a peak among the first requests allows no growth of the mean") {
+  RegionShiftLimiter Limiter(0.85 * ShiftBound);
+  Time Now{seconds(100)};
+  std::array<unsigned, 2> Away{};
+  constexpr unsigned Requests = 400; // In each of two windows of two seconds.
+  for (unsigned I = 0; I < 2 * Requests; ++I) {
+    Now += milliseconds(5);
+    bool IsPeak = I >= 20 && I < 100;
+    bool IsLate = I >= Requests;
+    bool Leaves = (IsPeak || IsLate || I % 10 == 0) &&
+                  Limiter.canSendTo("west", Now, true);
+    Limiter.recordStart(Leaves ? "west" : "", Now);
+    Away[IsLate ? 1 : 0] += Leaves ? 1 : 0;
+  }
+  CHECK(Away[0] > 0.25 * Requests);
+  CHECK(Away[1] <= Away[0] + ShiftBound * Requests);
+}
+
 TEST_CASE("demand: it is known after a round of heartbeats") {
   RegionDemand Demand;
   Time Now{seconds(100)};
