Fix: [Net] A response with a status over 599 is no response

Report (other systems): a server in trouble sent status 000 and the client got it as an answer. RFC 9110, section 15: valid statuses are 100 to 599.

--- a/src/net/message_framing.cpp
+++ b/src/net/message_framing.cpp
@@ -262,6 +262,7 @@
   constexpr unsigned SwitchingProtocols = 101;
   constexpr unsigned FirstInterim = 100;
   constexpr unsigned FirstFinal = 200;
+  constexpr unsigned LastStatus = 599; // RFC 9110, section 15.
   constexpr unsigned NoContent = 204;
   constexpr unsigned NotModified = 304;
   size_t End = std::min(Head.find(LineEnd), Head.size());
@@ -276,7 +277,8 @@
   std::from_chars(Line.data() + VersionSize + 1, Line.data() + ReasonAt,
                   Status);
   // Upgrade isn't forwarded, so no server may accept one.
-  if (Status < FirstInterim || Status == SwitchingProtocols)
+  if (Status < FirstInterim || Status > LastStatus ||
+      Status == SwitchingProtocols)
     return FramingError{BadGateway, "status"};
   std::optional<FramingFields> Fields =
       parseFields(Head.substr(std::min(End + LineEnd.size(), Head.size())));
--- a/test/process/faulty_server_test.cpp
+++ b/test/process/faulty_server_test.cpp
@@ -215,3 +215,35 @@
         }));
       }
 }
+
+// Guards against a status that no client knows being passed on as a response.
+TEST_CASE("report: a response with an invalid status never reaches a client") {
+  Fixture F;
+  const std::string Lines[] = {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 600 OK\r\n",
+                               "HTTP/1.1 099 OK\r\n"};
+  std::atomic<size_t> Line = 0;
+  RawServer Faulty([&](const std::string &AttemptId) {
+    return RawReply{Lines[Line] + "X-Cranberrypost-Attempt-Id: " + AttemptId +
+                        "\r\nX-Cranberrypost-Server-Seal: i-two\r\n"
+                        "Content-Length: 0\r\n\r\n",
+                    ""};
+  });
+  F.replaceSecondService(Faulty);
+  F.startAll();
+  RouteClient Client(F.getAddress());
+  unsigned Number = 0;
+  for (; Line < std::size(Lines); ++Line)
+    for (const char *Target : {"/two/x", "/once/x"}) {
+      CAPTURE(Lines[Line], Target);
+      unsigned Before = Faulty.getRequests();
+      // Servers that failed get no requests for a while.
+      CHECK(F.waitUntil([&] {
+        std::string Id = "status" + std::to_string(++Number);
+        unsigned Status =
+            Client.call({"GET", Target, Id, "7", seconds(1)}, seconds(5))
+                .Status_;
+        CHECK((Status == 502 || Status == 503));
+        return Faulty.getRequests() > Before;
+      }));
+    }
+}
