Fix: [Test] Endless bytes: the check that a case was reached waits out the backoff

The check asked for a request at the faulty servers within 1.2 s of each case. They fail every request, so their backoff is at its maximum of 1.6 s (MaxBackoff) after the first cases; a case that begins right after a failure sees none for that long. In the log of a run the next attempt at a server starts 1.60 s after its last one has ended.

Now the case waits for its first request and then plays for 1.2 s more, so every case is reached and all other checks cover at least the time they covered.

--- a/test/process/faulty_server_test.cpp
+++ b/test/process/faulty_server_test.cpp
@@ -122,8 +122,9 @@
     unsigned Requests = Faulty.getRequests();
     Load Affected(F.getAddress(), "/two/x", 6);
     Load Once(F.getAddress(), "/once/x", 6);
+    // Servers that failed get no requests for a while.
+    CHECK(F.waitUntil([&] { return Faulty.getRequests() > Requests; }));
     RouteClient("").pause(milliseconds(1200));
-    CHECK(Faulty.getRequests() > Requests);
     CHECK(Affected.Served_ + Once.Served_ == 0);
     CHECK(Sound.Served_ > Before);
     CHECK(Sound.Failed_ == 0);
