Fix: [Store] A lost watch on evacuations is given up within the bound

The same cause as in docs/incidents/unknown-newer-version.md, elsewhere: a watch on evacuations that was lost without a sign was given up after 4 + 1.5 s, and an evacuation has to be in force after 5 s.

One more call each 12 s for a VM that reads the store.

--- a/src/request/region_shift_limiter_base.h
+++ b/src/request/region_shift_limiter_base.h
@@ -45,9 +45,6 @@
   bool canSendTo(std::string_view RegionName, Time Now,
                  bool IsStanding = false);
 
-  /// \return Whether the first requests follow the division, see canSendTo().
-  bool isStarting(Time Now) const { return Now < StartsUntil_; }
-
   /// \return Whether the share of \p RegionName has fallen by more than the
   /// limit, so that requests should go there even if this region has room.
   bool isFallingTooFast(std::string_view RegionName, Time Now);
@@ -69,6 +66,9 @@
     std::vector<double> RequestsByRegion_; ///< Requests by index in Regions_.
   };
 
+  /// \return Whether the first requests follow the division, see canSendTo().
+  bool isStarting(Time Now) const { return Now < StartsUntil_; }
+
   Region &getRegion(std::string_view Name);
   void advance(Time Now);
   void endStart();
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -27,9 +27,14 @@
 /// would make what is relayed look out of date.
 constexpr double ServerWatchWaitShare = 0.1;
 
-/// Longest wait of watches on objects that operators write. The store may drop
-/// a watch silently. With this limit, a change is known at most 6 s later.
-constexpr Duration OperatorWatchWait = seconds(4);
+/// Longest wait of a watch on the configuration. The store may drop a watch
+/// silently; then heartbeats of other VMs tell of a change sooner.
+constexpr Duration ConfigWatchWait = seconds(4);
+
+/// Longest wait of a watch on evacuations. With the call's margin, a watch that
+/// was dropped silently is given up after 4.5 s, and an evacuation must be in
+/// force within 5 s.
+constexpr Duration EvacuationWatchWait = seconds(3);
 
 /// Longest wait of a watch on servers at another entry VM. Together with the
 /// call's margin, a hung VM is abandoned after 0.75 s, of the 2 s in which a
@@ -56,7 +61,7 @@
                      EventLog &Log, StoreViewHandlers Handlers)
     : Loop_(Loop), Log_(Log), Handlers_(std::move(Handlers)),
       ConfigFollower_(Loop, Store,
-                      {platform::kind::Config, Duration(0), OperatorWatchWait,
+                      {platform::kind::Config, Duration(0), ConfigWatchWait,
                        OperatorRelayWait},
                       makeConfigHandlers(), Log),
       ServerFollower_(
@@ -65,7 +70,7 @@
           makeServerHandlers(), Log),
       EvacuationFollower_(Loop, Store,
                           {platform::kind::Evacuations, Duration(0),
-                           OperatorWatchWait, OperatorRelayWait},
+                           EvacuationWatchWait, OperatorRelayWait},
                           makeEvacuationHandlers(), Log),
       Relay_(Loop, [this](bool IsDirect) { return getRelayState(IsDirect); }) {
   Relay_.addKind(platform::kind::Config, ConfigFollower_);
--- a/test/process/late_configuration_test.cpp
+++ b/test/process/late_configuration_test.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Time within which the users require an evacuation to be in force.
+constexpr Duration EvacuationBound = seconds(5);
+
 json makeWorkspaces(const json &Keys) {
   return json::array({{{"name", "acme"}, {"apiKeys", Keys}}});
 }
@@ -64,6 +67,27 @@
   CHECK(F.getStatus(0, "/read/x", "k1") == 401);
 }
 
+// Guards against requests to an evacuated zone for as long as a lost watch took
+// to be noticed.
+TEST_CASE("steering: an evacuation is in force in time on a VM whose watch is "
+          "lost") {
+  Fixture F;
+  // The watch is renewed after an event, so it has its whole wait before it.
+  F.Fleet_.store().put("evacuations", "elsewhere", json::object());
+  // With events at hand, watches on servers don't wait and aren't stalled.
+  for (int I = 0; I < 4; ++I) {
+    F.Fleet_.registerServer(F.Fleet_.servers()[0]);
+    RouteClient("").pause(milliseconds(25));
+  }
+  F.Fleet_.vm(0).StoreLink_->setMode(LinkMode::StuckWaiting);
+  F.Fleet_.store().put("evacuations", "north-a", json::object());
+  RouteClient("").pause(EvacuationBound);
+  unsigned Before = F.getArrivals("north-a");
+  for (int I = 0; I < 10; ++I)
+    CHECK(F.getStatus(0, "/read/x" + std::to_string(I), "k1") == 200);
+  CHECK(F.getArrivals("north-a") == Before);
+}
+
 // Guards against a final answer from a VM that may not know of a new route.
 TEST_CASE("steering: a VM that is out of touch refuses unknown routes and keys "
           "only for now") {
