Feature: [Observability] Attempts name the homes, the server's region and the newest version known

The three hypotheses on requests outside their homes can't be told apart by the log: attempt-start named neither the homes of the request nor the region of the server, nor whether another VM had a newer version. It does now, and cranberry_homed_attempts counts attempts for requests with homes by whether their version was the newest one known.

--- a/src/steering/request_router_attempts.cpp
+++ b/src/steering/request_router_attempts.cpp
@@ -4,6 +4,7 @@
 #include "net/http_message_func.h"
 #include "steering/request_router_base.h"
 
+#include <absl/strings/str_join.h>
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -85,16 +86,24 @@
     Flow.QueueTime_ = Now - Flow.Request_.Arrived_;
     Metrics_.observeQueueTime(Pool.Name_, Flow.QueueTime_);
   }
+  uint64_t Newest = getCurrency().Newest_;
+  if (!Flow.Request_.HomeRegions_.empty())
+    ++(Flow.Config_->Version_ < Newest ? HomedAttempts_.Outdated_
+                                       : HomedAttempts_.Current_);
   Log_.write(Now, "attempt-start",
              {{"request", Flow.Id_},
               {"service", Pool.Name_},
+              {"route", Flow.Route_->Name_},
               {"server", Start.Server_},
+              {"region", Locator_.getRegion(Server->second.Zone_)},
+              {"homes", absl::StrJoin(Flow.Request_.HomeRegions_, " ")},
               {"where", ProximityNames[static_cast<size_t>(Start.Proximity_)]},
               {"busy", Start.Busy_},
               {"loadAgeMs", Start.LoadAge_},
               {"queue", Start.Queue_},
               {"expectedMs", Start.Expected_},
-              {"version", Flow.Config_->Version_}});
+              {"version", Flow.Config_->Version_},
+              {"newest", Newest}});
   Flow.Attempts_.push_back({Start, Now, Server->second.StartTimeMs_, {}});
   Flow.LastServer_ = Start.Server_;
   Flow.Request_.ExcludedServers_.push_back(Start.Server_);
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -29,6 +29,13 @@
   uint64_t Newest_ = 0;   ///< Newest version that any VM has reported.
 };
 
+/// Numbers of attempts for requests that have home regions.
+struct HomedAttemptCounts {
+  uint64_t Current_ = 0; ///< By the newest version known to any VM.
+  /// By an older version, whose homes may no longer hold.
+  uint64_t Outdated_ = 0;
+};
+
 /// Routes client requests and carries out the decisions of the balancers, for
 /// all services of an entry VM.
 class RequestRouter {
@@ -201,6 +208,7 @@
   LeavingHandler OnLeaving_;                    ///< See the setter.
   std::function<ConfigCurrency()> GetCurrency_; ///< See the setter.
   std::function<void()> OnRateLimit_;           ///< See the setter.
+  HomedAttemptCounts HomedAttempts_;            ///< Since the start.
   RegionDemand Demand_;                 ///< Demand of all entry VMs' clients.
   Time ShutdownDeadline_ = Time::max(); ///< Latest deadline during shutdown.
   uint64_t NextFlow_ = 1;               ///< Index of the next flow.
--- a/src/steering/request_router_report.cpp
+++ b/src/steering/request_router_report.cpp
@@ -42,6 +42,10 @@
 }
 
 void RequestRouter::updateGauges() {
+  Metrics_.setGauge("cranberry_homed_attempts", "current",
+                    static_cast<double>(HomedAttempts_.Current_));
+  Metrics_.setGauge("cranberry_homed_attempts", "outdated",
+                    static_cast<double>(HomedAttempts_.Outdated_));
   Time Now = getNow();
   for (auto &[Name, Pool] : Pools_) {
     Metrics_.setGauge("cranberry_waiting_requests", Name,
