--- /dev/null
+++ b/test/process/outdated_homes_test.cpp
@@ -0,0 +1,112 @@
+/// \file outdated_homes_test.cpp Home regions on entry VMs that miss a version.
+#include "test/support/steering_fixture_base.h"
+
+using namespace cranberry;
+using namespace cranberry::standin;
+using cranberry::test::SteeringFixture;
+using nlohmann::json;
+
+namespace {
+
+/// Two VMs in different regions, both of which read the store.
+class Fixture : public SteeringFixture {
+public:
+  Fixture() : SteeringFixture({{"north-a", "south-a"}, {"one"}}) {
+    setHome("north");
+    startAll();
+    // Watches are open, and the VMs have exchanged heartbeats.
+    waitForPropagation();
+  }
+
+  void setHome(const std::string &Region) {
+    json Home = makeRoute("r-home", "/home/", "one", true, seconds(3));
+    Home["homeRegions"] = {Region};
+    Fleet_.configure(json::array(
+        {makeRoute("r-read", "/read/", "one", true, seconds(3)), Home}));
+  }
+
+  unsigned getStatus(const std::string &Target) {
+    RouteClient Client(Fleet_.vm(0).FrontLink_->getAddress());
+    return Client
+        .call(
+            {"GET", Target, "home" + std::to_string(++Count_), "", seconds(3)},
+            seconds(10))
+        .Status_;
+  }
+
+  /// Sends requests with homes through the first VM.
+  /// \return Number that servers of the north received.
+  unsigned countInNorth(unsigned Status) {
+    unsigned Before = getArrivals("north-a");
+    for (int I = 0; I < 5; ++I)
+      CHECK(getStatus("/home/x") == Status);
+    return getArrivals("north-a") - Before;
+  }
+
+private:
+  int Count_ = 0; ///< Number of requests.
+};
+
+constexpr unsigned Ok = 200;
+constexpr unsigned Unavailable = 503;
+
+} // namespace
+
+// The VM hears of the version in heartbeats, but its own calls get no response.
+TEST_CASE("homes: a VM that can't get a version that another one has in force "
+          "sends nothing to the homes before") {
+  Fixture F;
+  CHECK(F.countInNorth(Ok) == 5);
+  F.Fleet_.vm(0).StoreLink_->setMode(LinkMode::Silent);
+  F.Fleet_.vm(1).PeerLink_->setMode(LinkMode::Silent);
+  F.setHome("south");
+  SteeringFixture::waitForPropagation();
+  CHECK(F.countInNorth(Unavailable) == 0);
+  F.Fleet_.vm(0).StoreLink_->setMode(LinkMode::Pass);
+  F.Fleet_.vm(1).PeerLink_->setMode(LinkMode::Pass);
+  CHECK(SteeringFixture::waitUntil(
+      [&F] { return F.getStatus("/home/x") == Ok; }));
+  CHECK(F.countInNorth(Ok) == 0);
+}
+
+// Each way of the news takes a second for a question and its response.
+TEST_CASE("homes: a version reaches a VM whose calls to others take a second") {
+  Fixture F;
+  F.Fleet_.vm(1).PeerLink_->setDelay(milliseconds(500));
+  F.Fleet_.vm(0).StoreLink_->setMode(LinkMode::Silent);
+  F.setHome("south");
+  unsigned South = F.getArrivals("south-a");
+  CHECK(SteeringFixture::waitUntil([&F, South] {
+    F.getStatus("/home/x");
+    return F.getArrivals("south-a") > South;
+  }));
+}
+
+TEST_CASE("homes: a VM that hears from nobody refuses requests with homes, and "
+          "no others") {
+  Fixture F;
+  F.Fleet_.vm(0).StoreLink_->setMode(LinkMode::Silent);
+  F.Fleet_.vm(0).PeerLink_->setMode(LinkMode::Silent);
+  F.Fleet_.vm(1).PeerLink_->setMode(LinkMode::Silent);
+  F.setHome("south");
+  SteeringFixture::waitForPropagation();
+  CHECK(F.countInNorth(Unavailable) == 0);
+  CHECK(F.getStatus("/read/x") == Ok);
+  F.Fleet_.vm(0).StoreLink_->setMode(LinkMode::Pass);
+  F.Fleet_.vm(0).PeerLink_->setMode(LinkMode::Pass);
+  F.Fleet_.vm(1).PeerLink_->setMode(LinkMode::Pass);
+  CHECK(SteeringFixture::waitUntil(
+      [&F] { return F.getStatus("/home/x") == Ok; }));
+  CHECK(F.countInNorth(Ok) == 0);
+}
+
+// With the store away nothing can change, and the VMs agree on the version.
+TEST_CASE("homes: VMs that agree on the version serve requests with homes "
+          "while the store is away") {
+  Fixture F;
+  F.Fleet_.vm(0).StoreLink_->setMode(LinkMode::Silent);
+  F.Fleet_.vm(1).StoreLink_->setMode(LinkMode::Silent);
+  for (int I = 0; I < 3; ++I)
+    SteeringFixture::waitForPropagation();
+  CHECK(F.countInNorth(Ok) == 5);
+}
