Fix: [Configuration] A VM with a busy link gets a newer version, however long its packets wait

Cause: every way of the news has time-outs that are meant to detect failed VMs (200 to 450 ms to connect, 1 s for a fetch). Packets that wait longer than that at the VM's own link make each attempt fail, and the next one starts from nothing. And a VM that hears no heartbeat never asks.

Fetches of the configuration detect nothing, so they may take 8 s, eight at a time; a VM that has no confirmation of its version for 0.375 of the bound asks others without a report. The question names the version in force, so that the usual response is 304.

--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -47,6 +47,9 @@
   Duration ServerDrain_ = milliseconds(2000); ///< Time within which a leaving
                                               ///< server gets no more
                                               ///< requests.
+  Duration ConfigPropagation_ =
+      milliseconds(2500);     ///< Time within which a configuration is in force
+                              ///< on all entry VMs.
   double MaxRegionShift_ = 1; ///< Largest share of a region's requests that may
                               ///< move to another region within 2 s.
   double ColdBurstFactor_ = 1; ///< Factor on a cold server's request rate.
--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -58,6 +58,7 @@
     {"repeatSlack", &Settings::RepeatSlack_, false, false, true, 0, 1000000},
     {"repeatWindowMs", &Settings::RepeatWindow_, false, false, true, 100, 600000},
     {"serverDrainMs", &Settings::ServerDrain_, false, false, true, 200, 60000},
+    {"configPropagationMs", &Settings::ConfigPropagation_, false, false, true, 200, 600000},
     {"maxRegionShift", &Settings::MaxRegionShift_, false, false, true, 0, 1},
     {"logLinesPerSecond", &Settings::LogLinesPerSecond_, false, false, true, 0, 100000},
     {"processorShare", &Settings::ProcessorShare_, false, false, false, 0, 1024},
--- a/src/process/peer_version_tracker.cpp
+++ b/src/process/peer_version_tracker.cpp
@@ -6,12 +6,15 @@
 
 namespace cranberry {
 
-void PeerVersionTracker::setInForce(uint64_t Version) {
+void PeerVersionTracker::setInForce(uint64_t Version, Time Now) {
   InForce_ = Version;
+  Confirmed_ = Now;
   Newer_.erase(Newer_.begin(), Newer_.upper_bound(Version));
 }
 
 void PeerVersionTracker::recordReport(uint64_t Version, Time Now) {
+  if (Version == InForce_)
+    recordConfirmation(Now);
   if (Version <= InForce_ || !Newer_.try_emplace(Version, Now).second)
     return;
   if (Newer_.size() > MaxVersions)
@@ -37,6 +40,17 @@
   return IsDue;
 }
 
+bool PeerVersionTracker::startPoll(Time Now) {
+  if (Now - LastFetch_ < FetchInterval)
+    return false;
+  LastFetch_ = Now;
+  return true;
+}
+
+void PeerVersionTracker::recordConfirmation(Time Now) {
+  Confirmed_ = std::max(Confirmed_, Now);
+}
+
 uint64_t PeerVersionTracker::getNewest() const {
   return Newer_.empty() ? InForce_ : Newer_.rbegin()->first;
 }
--- a/src/process/peer_version_tracker_base.h
+++ b/src/process/peer_version_tracker_base.h
@@ -19,8 +19,8 @@
 /// time, so that a wrong report doesn't leave the VM in doubt for good.
 class PeerVersionTracker {
 public:
-  /// \param Version Version in force here; versions never decrease.
-  void setInForce(uint64_t Version);
+  /// \param Version Version in force here from now on; versions never decrease.
+  void setInForce(uint64_t Version, Time Now);
 
   /// Records that another VM has \p Version in force.
   void recordReport(uint64_t Version, Time Now);
@@ -35,6 +35,17 @@
   /// \return True at most once per FetchInterval, and then counts as a fetch.
   bool startFetch(uint64_t Version, Time Now);
 
+  /// Decides whether to ask another VM for its version, without a report.
+  /// \return True at most once per FetchInterval, and then counts as a fetch.
+  bool startPoll(Time Now);
+
+  /// Records that another VM has confirmed the version in force here.
+  void recordConfirmation(Time Now);
+
+  /// \return Last time at which another VM confirmed the version in force here,
+  /// or at which it came into force.
+  Time getLastConfirmation() const { return Confirmed_; }
+
   /// \return Newest version that this VM or another one has in force.
   uint64_t getNewest() const;
 
@@ -54,6 +65,7 @@
   uint64_t InForce_ = 0;           ///< Version in force here.
   std::map<uint64_t, Time> Newer_; ///< Newer versions, with their first report.
   Time LastFetch_;                 ///< Start of the last fetch.
+  Time Confirmed_;                 ///< See getLastConfirmation().
 };
 
 } // namespace cranberry
--- a/src/steering/config_exchange.cpp
+++ b/src/steering/config_exchange.cpp
@@ -1,16 +1,34 @@
 /// \file config_exchange.cpp Configurations that other entry VMs have in force.
 #include "steering/config_exchange_base.h"
 
+#include "core/duration_func.h"
 #include "net/http_message_func.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace http = boost::beast::http;
+
 namespace cranberry {
 
 namespace {
 
-/// A configuration may be a megabyte, and a VM's link is 10 Mbit/s at the
-/// least.
-constexpr Duration FetchTimeout = seconds(1);
-constexpr Duration ConnectTimeout = milliseconds(300);
+/// Packets wait for seconds at the link of a VM whose clients press, so these
+/// are longer than the time-outs that detect failed VMs.
+constexpr Duration FetchTimeout = seconds(8);
+constexpr Duration ConnectTimeout = seconds(4);
+
+/// Fetches in flight at a time. Other VMs are asked while one doesn't respond.
+constexpr unsigned MaxFetches = 8;
+
+/// Share of the bound after which a VM that hears nothing asks others.
+constexpr double PollDelayShare = 0.375;
+
+constexpr unsigned Ok = 200;
+constexpr unsigned NotModified = 304;
+constexpr unsigned Unavailable = 503;
 
 } // namespace
 
@@ -29,23 +47,45 @@
                 {"newest", Versions_.getNewest()},
                 {"peer", Peer},
                 {"ageMs", View_.getServerAge(Now)}});
-  if (Versions_.startFetch(Version, Now))
+  if (FetchCount_ < MaxFetches && Versions_.startFetch(Version, Now))
     fetch(Peer, Version);
 }
 
+Duration ConfigExchange::getConfirmationAge(Time Now) const {
+  return std::min(Now - Versions_.getLastConfirmation(),
+                  View_.getServerAge(Now));
+}
+
+bool ConfigExchange::shouldPoll() {
+  Time Now = getNow();
+  return View_.getVersion() != 0 && FetchCount_ < MaxFetches &&
+         getConfirmationAge(Now) >= scaleDuration(Bound_, PollDelayShare) &&
+         Versions_.startPoll(Now);
+}
+
+void ConfigExchange::poll(const std::vector<std::string> &Peers) {
+  if (!Peers.empty())
+    fetch(Peers[NextPolled_++ % Peers.size()], 0);
+}
+
 void ConfigExchange::fetch(const std::string &Peer, uint64_t Version) {
   HttpCall Call;
   Call.Method_ = "GET";
   Call.Url_ = "http://" + Peer + Path;
+  Call.Headers_.emplace_back("If-None-Match", absl::StrCat(View_.getVersion()));
   Call.Timeout_ = FetchTimeout;
   Call.ConnectTimeout_ = ConnectTimeout;
-  Client_.startCall(std::move(Call), [this, Peer,
-                                      Version](const HttpResult &Result) {
-    constexpr int Ok = 200;
+  ++FetchCount_;
+  Time Asked = getNow();
+  Client_.startCall(std::move(Call), [this, Peer, Version,
+                                      Asked](const HttpResult &Result) {
+    --FetchCount_;
     Reason Why;
     bool IsReceived = Result.Code_ == ResultCode::Ok && Result.Status_ == Ok;
     bool IsApplied = IsReceived && View_.applyRelayed(Result.Body_, Why);
     AppliedCount_ += IsApplied ? 1 : 0;
+    if (Result.Code_ == ResultCode::Ok && Result.Status_ == NotModified)
+      Versions_.recordConfirmation(Asked);
     Log_.write(getNow(), "config-fetched",
                {{"peer", Peer},
                 {"reported", Version},
@@ -57,10 +97,16 @@
 }
 
 bool ConfigExchange::handleRequest(const IngressExchangePtr &Exchange) const {
-  constexpr unsigned Ok = 200;
-  constexpr unsigned Unavailable = 503;
   if (Exchange->getMessage().target() != Path)
     return false;
+  uint64_t Known = 0;
+  boost::beast::string_view Text =
+      Exchange->getMessage()[http::field::if_none_match];
+  if (absl::SimpleAtoi(absl::string_view(Text.data(), Text.size()), &Known) &&
+      Known != 0 && Known == View_.getVersion()) {
+    Exchange->respond(makeResponse(NotModified, ""));
+    return true;
+  }
   std::string Page = View_.encodeActiveConfig();
   Exchange->respond(Page.empty() ? makeResponse(Unavailable, "")
                                  : makeResponse(Ok, Page, "application/json"));
--- a/src/steering/config_exchange_base.h
+++ b/src/steering/config_exchange_base.h
@@ -10,11 +10,13 @@
 #include "steering/store_view_base.h"
 
 #include <string>
+#include <vector>
 
 namespace cranberry {
 
 /// Fetches a configuration from another entry VM if that one reports a newer
-/// version than this VM's source of updates has supplied, and serves its own.
+/// version than this VM's source of updates has supplied, or if neither the
+/// source nor another VM is heard. Serves its own to others.
 class ConfigExchange {
 public:
   /// Path of requests for the configuration on the port for other entry VMs.
@@ -23,7 +25,23 @@
   ConfigExchange(boost::asio::io_context &Loop, StoreView &View, EventLog &Log);
 
   /// \param Version Version that has taken effect here.
-  void setInForce(uint64_t Version) { Versions_.setInForce(Version); }
+  void setInForce(uint64_t Version) { Versions_.setInForce(Version, getNow()); }
+
+  /// \param Bound Time within which a version has to be in force on all VMs.
+  void setBound(Duration Bound) { Bound_ = Bound; }
+
+  /// \return Whether another VM is to be asked for a newer version, as this one
+  /// has heard nothing for a part of the bound. True at most once per
+  /// PeerVersionTracker::FetchInterval.
+  bool shouldPoll();
+
+  /// Asks one of the other VMs, another one each time.
+  /// \param Peers Their peer addresses.
+  void poll(const std::vector<std::string> &Peers);
+
+  /// \return Time since the version in force here was confirmed by the source
+  /// of updates or by another VM.
+  Duration getConfirmationAge(Time Now) const;
 
   /// Handles a report of the version that another VM has in force.
   /// \param Peer Its peer address.
@@ -40,6 +58,7 @@
   bool handleRequest(const IngressExchangePtr &Exchange) const;
 
 private:
+  /// \param Version Version that the other VM has reported, or 0.
   void fetch(const std::string &Peer, uint64_t Version);
 
   StoreView &View_;             ///< Configuration in force.
@@ -47,6 +66,9 @@
   PeerVersionTracker Versions_; ///< Versions of other VMs.
   HttpClient Client_;           ///< Connections to other VMs.
   uint64_t AppliedCount_ = 0;   ///< See getAppliedCount().
+  Duration Bound_{0};           ///< See setBound().
+  size_t NextPolled_ = 0;       ///< Counts polls, for the choice of a VM.
+  unsigned FetchCount_ = 0;     ///< Fetches without a response so far.
 };
 
 } // namespace cranberry
--- a/src/steering/peer_exchange.cpp
+++ b/src/steering/peer_exchange.cpp
@@ -49,6 +49,16 @@
       sendHeartbeat(Vm.PeerAddress_);
 }
 
+std::vector<std::string> PeerExchange::getPeerAddresses() const {
+  std::vector<std::string> Result;
+  for (const MemberList &Vms :
+       {Membership_.getMembers(), Membership_.getGoneMembers()})
+    for (const Member &Vm : Vms)
+      if (Vm.Vm_ != Membership_.getSelf().Vm_)
+        Result.push_back(Vm.PeerAddress_);
+  return Result;
+}
+
 void PeerExchange::sendHeartbeats() {
   Time Now = getNow();
   for (const std::string &Address : Membership_.selectHeartbeatTargets(Now))
--- a/src/steering/peer_exchange_base.h
+++ b/src/steering/peer_exchange_base.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cranberry {
 
@@ -70,6 +71,9 @@
   /// Announces to all members that this VM is leaving.
   void announceLeave();
 
+  /// \return Peer addresses of all other VMs, those that are gone included.
+  std::vector<std::string> getPeerAddresses() const;
+
   /// \return This VM and all others that may serve.
   MemberList getMembers() const { return Membership_.getMembers(); }
 
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -79,6 +79,7 @@
   if (!Settings_.IsFirstStart_)
     Router_.liftShiftLimit();
   Quotas_.applySettings(Settings_);
+  Configs_.setBound(Settings_.ConfigPropagation_);
   Peers_.setRequestHandler(
       [this](const IngressExchangePtr &E) { handlePeerRequest(E); });
   Peers_.setVersionHandler([this](const std::string &Peer, uint64_t Version) {
@@ -267,6 +268,8 @@
   View_.tick();
   updateReader();
   updateRouterServers();
+  if (!IsStopping_ && Configs_.shouldPoll())
+    Configs_.poll(Peers_.getPeerAddresses());
   Router_.closeIdleConnections();
   updateLoad();
   updateDemand();
@@ -312,6 +315,7 @@
   View_.applySettings(Settings_);
   Router_.applySettings();
   Quotas_.applySettings(Settings_);
+  Configs_.setBound(Settings_.ConfigPropagation_);
   Router_.setServers(View_.getRegistry(), Peers_.getMembers());
 }
 
--- a/test/unit/peer_version_test.cpp
+++ b/test/unit/peer_version_test.cpp
@@ -13,7 +13,7 @@
 
 TEST_CASE("peer version: a VM is behind until the version is in force") {
   PeerVersionTracker Versions;
-  Versions.setInForce(5);
+  Versions.setInForce(5, Start);
   Versions.recordReport(5, Start);
   Versions.recordReport(4, Start);
   CHECK_FALSE(Versions.isBehind(Start));
@@ -21,9 +21,9 @@
   Versions.recordReport(7, Start);
   CHECK(Versions.isBehind(Start));
   CHECK(Versions.getNewest() == 7);
-  Versions.setInForce(6);
+  Versions.setInForce(6, Start);
   CHECK(Versions.isBehind(Start));
-  Versions.setInForce(7);
+  Versions.setInForce(7, Start);
   CHECK_FALSE(Versions.isBehind(Start));
   CHECK(Versions.getNewest() == 7);
 }
@@ -31,7 +31,7 @@
 TEST_CASE("peer version: the usual source has time before another VM is asked, "
           "and few ask at a time") {
   PeerVersionTracker Versions;
-  Versions.setInForce(5);
+  Versions.setInForce(5, Start);
   Versions.recordReport(7, Start);
   CHECK_FALSE(Versions.startFetch(7, Start));
   Time Due = Start + PeerVersionTracker::FetchDelay;
@@ -40,14 +40,14 @@
   CHECK(Versions.startFetch(7, Due));
   CHECK_FALSE(Versions.startFetch(7, Due + milliseconds(1)));
   CHECK(Versions.startFetch(7, Due + PeerVersionTracker::FetchInterval));
-  Versions.setInForce(7);
+  Versions.setInForce(7, Start);
   CHECK_FALSE(Versions.startFetch(7, Due + seconds(2)));
 }
 
 TEST_CASE(
     "peer version: versions in quick succession don't put off the fetch") {
   PeerVersionTracker Versions;
-  Versions.setInForce(1);
+  Versions.setInForce(1, Start);
   Time Now = Start;
   bool IsFetched = false;
   for (uint64_t Version = 2; Version < 8; ++Version) {
@@ -61,7 +61,7 @@
 TEST_CASE("peer version: a version that nobody supplies counts for a limited "
           "time") {
   PeerVersionTracker Versions;
-  Versions.setInForce(5);
+  Versions.setInForce(5, Start);
   Time Now = Start;
   for (; Now < Start + PeerVersionTracker::MaxDoubt; Now += seconds(1)) {
     Versions.recordReport(1000000, Now);
@@ -82,3 +82,22 @@
   CHECK(Versions.getNewest() == 1000);
   CHECK(Versions.isBehind(Start));
 }
+
+TEST_CASE(
+    "peer version: other VMs confirm the version in force, and polls keep "
+    "the interval") {
+  PeerVersionTracker Versions;
+  Versions.setInForce(5, Start);
+  CHECK(Versions.getLastConfirmation() == Start);
+  Time Later = Start + seconds(3);
+  Versions.recordReport(4, Later);
+  Versions.recordReport(6, Later);
+  CHECK(Versions.getLastConfirmation() == Start);
+  Versions.recordReport(5, Later);
+  CHECK(Versions.getLastConfirmation() == Later);
+  CHECK(Versions.startPoll(Later));
+  Time Due = Later + PeerVersionTracker::FetchInterval;
+  CHECK_FALSE(Versions.startPoll(Due - milliseconds(1)));
+  CHECK_FALSE(Versions.startFetch(6, Due - milliseconds(1)));
+  CHECK(Versions.startPoll(Due));
+}
