Fix: [Configuration] A VM that knows of a newer version doesn't go by the homes of its own

What callers saw: requests outside their home region (HOME). A VM that had heard of a newer version but couldn't get it served on by its own, and so did one that heard from nobody while its clients still reached it.

Class: an answer that rests on the absence of knowledge.

Requests with homes are refused (343) by a VM whose version neither its source nor another VM has confirmed for 0.75 of the bound; others are still served there, as before. VMs that agree serve on while the store is away.

--- a/src/core/result_type.h
+++ b/src/core/result_type.h
@@ -81,6 +81,8 @@
   HomesDisjoint = 339,   ///< No region is a home of both route and workspace.
   QuotaExceeded = 340,   ///< The workspace's quota is used up for the moment.
   RouteUnverified = 341, ///< No route matches, but there may be a new one.
+  ConfigOutdated = 342,  ///< A newer configuration is known and isn't here.
+  HomesUnconfirmed = 343,       ///< The homes in force here may have changed.
   PlatformUnreachable = 401,    ///< The platform did not receive the call.
   PlatformOutcomeUnknown = 402, ///< The write may have been applied.
   PlatformRefused = 403,        ///< The platform rejected the call.
--- a/src/core/table/result_table.h
+++ b/src/core/table/result_table.h
@@ -80,6 +80,8 @@
     {ResultCode::HomesDisjoint, "homes-disjoint", Outcome::NotRun, 503, "no region is a home of both route and workspace"},
     {ResultCode::QuotaExceeded, "quota-exceeded", Outcome::NotRun, 429, "the workspace's quota is used up for the moment"},
     {ResultCode::RouteUnverified, "route-unverified", Outcome::NotRun, 503, "no route takes the host and path, and the configuration may be out of date"},
+    {ResultCode::ConfigOutdated, "config-outdated", Outcome::NotRun, 503, "other entry VMs have a newer configuration in force, which this one couldn't get"},
+    {ResultCode::HomesUnconfirmed, "homes-unconfirmed", Outcome::NotRun, 503, "the request has homes, and nobody has confirmed the configuration for too long"},
     {ResultCode::PlatformUnreachable, "platform-unreachable", Outcome::NotRun, 503, "the platform did not take the call; nothing was written"},
     {ResultCode::PlatformOutcomeUnknown, "platform-outcome-unknown", Outcome::Unknown, 502, "the write may have taken effect"},
     {ResultCode::PlatformRefused, "platform-refused", Outcome::NotRun, 502, "the platform refused the call"},
--- a/src/process/peer_version_tracker.cpp
+++ b/src/process/peer_version_tracker.cpp
@@ -27,6 +27,17 @@
   });
 }
 
+bool PeerVersionTracker::isOverdue(Time Now, Duration Limit) const {
+  return std::any_of(Newer_.begin(), Newer_.end(), [&](const auto &Each) {
+    Duration Age = Now - Each.second;
+    return Each.first > Unavailable_ && Age >= Limit && Age < MaxDoubt;
+  });
+}
+
+void PeerVersionTracker::recordUnavailable(uint64_t Version) {
+  Unavailable_ = std::max(Unavailable_, Version);
+}
+
 bool PeerVersionTracker::startFetch(uint64_t Version, Time Now) {
   if (Version <= InForce_ || Now - LastFetch_ < FetchInterval)
     return false;
--- a/src/process/peer_version_tracker_base.h
+++ b/src/process/peer_version_tracker_base.h
@@ -29,6 +29,13 @@
   /// exist.
   bool isBehind(Time Now) const;
 
+  /// \return Whether a newer version was reported \p Limit ago or earlier and
+  /// still isn't in force here, although some VM may supply it.
+  bool isOverdue(Time Now, Duration Limit) const;
+
+  /// Records that the VM that reports \p Version has responded without it.
+  void recordUnavailable(uint64_t Version);
+
   /// Decides whether to fetch a version from the VM that has just reported it.
   /// The usual source of updates comes first: it has had FetchDelay to supply
   /// the version.
@@ -64,6 +71,7 @@
 
   uint64_t InForce_ = 0;           ///< Version in force here.
   std::map<uint64_t, Time> Newer_; ///< Newer versions, with their first report.
+  uint64_t Unavailable_ = 0;       ///< See recordUnavailable().
   Time LastFetch_;                 ///< Start of the last fetch.
   Time Confirmed_;                 ///< See getLastConfirmation().
 };
--- a/src/steering/config_exchange.cpp
+++ b/src/steering/config_exchange.cpp
@@ -26,6 +26,14 @@
 /// Share of the bound after which a VM that hears nothing asks others.
 constexpr double PollDelayShare = 0.375;
 
+/// Share of the bound for which a newer version may be known and not in force.
+/// The rest is for the time until this VM hears of it.
+constexpr double MaxBehindShare = 0.5;
+
+/// Share of the bound after which homes that nobody confirms don't hold. VMs
+/// that confirm them may have missed a version for a moment themselves.
+constexpr double MaxUnconfirmedShare = 0.75;
+
 constexpr unsigned Ok = 200;
 constexpr unsigned NotModified = 304;
 constexpr unsigned Unavailable = 503;
@@ -56,6 +64,14 @@
                   View_.getServerAge(Now));
 }
 
+bool ConfigExchange::isOutdated(Time Now) const {
+  return Versions_.isOverdue(Now, scaleDuration(Bound_, MaxBehindShare));
+}
+
+bool ConfigExchange::areHomesConfirmed(Time Now) const {
+  return getConfirmationAge(Now) < scaleDuration(Bound_, MaxUnconfirmedShare);
+}
+
 bool ConfigExchange::shouldPoll() {
   Time Now = getNow();
   return View_.getVersion() != 0 && FetchCount_ < MaxFetches &&
@@ -84,6 +100,8 @@
     bool IsReceived = Result.Code_ == ResultCode::Ok && Result.Status_ == Ok;
     bool IsApplied = IsReceived && View_.applyRelayed(Result.Body_, Why);
     AppliedCount_ += IsApplied ? 1 : 0;
+    if (IsReceived && View_.getVersion() < Version)
+      Versions_.recordUnavailable(Version);
     if (Result.Code_ == ResultCode::Ok && Result.Status_ == NotModified)
       Versions_.recordConfirmation(Asked);
     Log_.write(getNow(), "config-fetched",
--- a/src/steering/config_exchange_base.h
+++ b/src/steering/config_exchange_base.h
@@ -39,6 +39,14 @@
   /// \param Peers Their peer addresses.
   void poll(const std::vector<std::string> &Peers);
 
+  /// \return Whether a newer version has been known for so long that this VM
+  /// must not go by its own.
+  bool isOutdated(Time Now) const;
+
+  /// \return Whether the homes in force here are known not to have changed
+  /// within the bound.
+  bool areHomesConfirmed(Time Now) const;
+
   /// \return Time since the version in force here was confirmed by the source
   /// of updates or by another VM.
   Duration getConfirmationAge(Time Now) const;
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -168,23 +168,31 @@
     reject(Exchange, "", ResultCode::RequestMalformed);
     return;
   }
+  ConfigCurrency Currency = getCurrency();
+  if (Currency.IsOutdated_) {
+    reject(Exchange, Info.AttemptId_, ResultCode::ConfigOutdated);
+    return;
+  }
   std::optional<size_t> Index = Routes_.find(
       toString(Message[http::field::host]), toString(Message.target()));
   if (!Index) {
     reject(Exchange, Info.AttemptId_,
-           getCurrency().IsCurrent_ ? ResultCode::RouteUnknown
-                                    : ResultCode::RouteUnverified);
+           Currency.IsCurrent_ ? ResultCode::RouteUnknown
+                               : ResultCode::RouteUnverified);
     return;
   }
   const RouteConfig &Route = Config_->Routes_[*Index];
   ClientKey Key;
   if (Workspaces_.isActive())
     Key = platform::takeClientKey(Message);
-  AccessDecision Access =
-      Workspaces_.check(Route, Key, getCurrency().IsCurrent_);
-  if (Access.Code_ == ResultCode::Ok &&
-      getAllowedRegions(Route, Access.Workspace_).IsEmpty_)
-    Access.Code_ = ResultCode::HomesDisjoint;
+  AccessDecision Access = Workspaces_.check(Route, Key, Currency.IsCurrent_);
+  if (Access.Code_ == ResultCode::Ok) {
+    AllowedRegions Allowed = getAllowedRegions(Route, Access.Workspace_);
+    if (Allowed.IsEmpty_)
+      Access.Code_ = ResultCode::HomesDisjoint;
+    else if (!Allowed.Regions_.empty() && !Currency.AreHomesConfirmed_)
+      Access.Code_ = ResultCode::HomesUnconfirmed;
+  }
   if (Access.Code_ != ResultCode::Ok) {
     reject(Exchange, Info.AttemptId_, Access.Code_, Key);
     return;
--- a/src/steering/request_router_attempts.cpp
+++ b/src/steering/request_router_attempts.cpp
@@ -263,7 +263,10 @@
 }
 
 bool RequestRouter::tryRetry(ClientFlow &Flow, AttemptOutcome Outcome) {
-  if (!Workspaces_.isStillAdmitted(Flow.Key_, Flow.Workspace_))
+  ConfigCurrency Currency = getCurrency();
+  if (!Workspaces_.isStillAdmitted(Flow.Key_, Flow.Workspace_) ||
+      Currency.IsOutdated_ ||
+      (!Flow.Request_.HomeRegions_.empty() && !Currency.AreHomesConfirmed_))
     return false;
   Time Now = getNow();
   ServicePool &Pool = *Flow.Pool_;
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -27,6 +27,9 @@
   bool IsCurrent_ = true; ///< False if there may be a newer one.
   Duration Age_{0};       ///< Time since the store's state was last read.
   uint64_t Newest_ = 0;   ///< Newest version that any VM has reported.
+  /// Whether a newer one has been in force on other VMs for too long.
+  bool IsOutdated_ = false;
+  bool AreHomesConfirmed_ = true; ///< Whether home regions still hold.
 };
 
 /// Numbers of attempts for requests that have home regions.
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -186,7 +186,8 @@
   Time Now = getNow();
   const PeerVersionTracker &Versions = Configs_.getVersions();
   return {View_.isConfigCurrent(Now) && !Versions.isBehind(Now),
-          View_.getServerAge(Now), Versions.getNewest()};
+          View_.getServerAge(Now), Versions.getNewest(),
+          Configs_.isOutdated(Now), Configs_.areHomesConfirmed(Now)};
 }
 
 void SteeringVm::applyConfig(const RoutingConfigPtr &Config) {
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -64,7 +64,9 @@
   void startShutdown();
   void pollShutdown();
   ConfigCurrency getConfigCurrency() const;
-  bool isReady() const { return View_.isComplete() && !IsStopping_; }
+  bool isReady() const {
+    return View_.isComplete() && !IsStopping_ && !Configs_.isOutdated(getNow());
+  }
   void handlePeerRequest(const IngressExchangePtr &Exchange);
   void handleReadiness(const IngressExchangePtr &Exchange);
   void handleLookup(const IngressExchangePtr &Exchange);
--- a/test/unit/peer_version_test.cpp
+++ b/test/unit/peer_version_test.cpp
@@ -101,3 +101,23 @@
   CHECK_FALSE(Versions.startFetch(6, Due - milliseconds(1)));
   CHECK(Versions.startPoll(Due));
 }
+
+TEST_CASE("peer version: a version is overdue until it is in force, or its VM "
+          "responds without it") {
+  constexpr Duration Limit = seconds(2);
+  PeerVersionTracker Versions;
+  Versions.setInForce(5, Start);
+  Versions.recordReport(6, Start);
+  CHECK_FALSE(Versions.isOverdue(Start + Limit - milliseconds(1), Limit));
+  CHECK(Versions.isOverdue(Start + Limit, Limit));
+  CHECK_FALSE(Versions.isOverdue(Start + PeerVersionTracker::MaxDoubt, Limit));
+  Versions.recordReport(7, Start);
+  Versions.recordUnavailable(6);
+  CHECK(Versions.isOverdue(Start + Limit, Limit));
+  Versions.recordUnavailable(7);
+  CHECK_FALSE(Versions.isOverdue(Start + Limit, Limit));
+  Versions.recordReport(8, Start);
+  CHECK(Versions.isOverdue(Start + Limit, Limit));
+  Versions.setInForce(8, Start);
+  CHECK_FALSE(Versions.isOverdue(Start + Limit, Limit));
+}
