Fix: [Directory] A VM that starts names no VMs of other regions

Cause: the directory took the VMs that it had heard of for the fleet. A VM that starts leaves itself out and may know no other of its region yet; the selection then went on to other regions.

Change: until the VM's view of the store is complete, the selection passes over VMs of other regions, also suspect ones. Without one of the client's region the answer is 503, so that the client asks the next directory. A VM that is ready, or that stops, answers as before. cranberry_other_region_lookups_total counts the look-ups that are answered with VMs of other regions.

What it doesn't change: a VM whose view is complete, but that hasn't heard of a whole region, still names others; the counter shows it.

--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -52,6 +52,10 @@
       "cranberry_queue_duration_seconds", "Time from arrival to first attempt");
   prometheus::Family<prometheus::Counter> &Lookups_ =
       counter("cranberry_lookups_total", "Look-ups by result");
+  prometheus::Counter &OtherRegionLookups_ =
+      counter("cranberry_other_region_lookups_total",
+              "Look-ups answered with VMs of other regions")
+          .Add({});
   prometheus::Family<prometheus::Counter> &Attempts_ = counter(
       "cranberry_attempts_total", "Attempts by service, target and result");
   prometheus::Family<prometheus::Counter> &Platform_ = counter(
@@ -89,6 +93,10 @@
   Families_->Lookups_.Add({{"result", getName(Code)}}).Increment();
 }
 
+void Metrics::countOtherRegionLookup() {
+  Families_->OtherRegionLookups_.Increment();
+}
+
 void Metrics::countAttempt(const std::string &Service, const char *Target,
                            ResultCode Code) {
   Families_->Attempts_
--- a/src/observe/metrics_base.h
+++ b/src/observe/metrics_base.h
@@ -20,6 +20,8 @@
   void observeLatency(const std::string &Service, Duration Taken);
   void observeQueueTime(const std::string &Service, Duration Waited);
   void countLookup(ResultCode Code);
+  /// Counts a look-up that is answered with VMs of other regions.
+  void countOtherRegionLookup();
   void countAttempt(const std::string &Service, const char *Target,
                     ResultCode Code);
   void countPlatformCall(const char *Operation, ResultCode Code);
--- a/src/steering/steering_vm_ports.cpp
+++ b/src/steering/steering_vm_ports.cpp
@@ -46,15 +46,19 @@
   if (!isReady())
     std::erase_if(Vms,
                   [this](const Member &Vm) { return Vm.Vm_ == Settings_.Vm_; });
-  std::vector<std::string> Addresses =
-      selectLookupAddresses(Vms, Question->Region_, Question->Zone_);
-  Metrics_.countLookup(Addresses.empty() ? ResultCode::NoEntryVm
-                                         : ResultCode::Ok);
-  if (Addresses.empty())
+  // A VM that starts may not have heard of the VMs of a region yet.
+  LookupSelection Selected = selectLookupAddresses(
+      Vms, Question->Region_, Question->Zone_,
+      View_.isComplete() ? FleetKnowledge::Full : FleetKnowledge::Partial);
+  bool IsEmpty = Selected.Addresses_.empty();
+  Metrics_.countLookup(IsEmpty ? ResultCode::NoEntryVm : ResultCode::Ok);
+  if (Selected.HasOtherRegions_)
+    Metrics_.countOtherRegionLookup();
+  if (IsEmpty)
     Exchange->respond(makeResponse(Unavailable, ""));
   else
-    Exchange->respond(
-        platform::encodeLookupResponse(Addresses, Settings_.LookupTtl_));
+    Exchange->respond(platform::encodeLookupResponse(Selected.Addresses_,
+                                                     Settings_.LookupTtl_));
 }
 
 void SteeringVm::handleMetrics(const IngressExchangePtr &Exchange) {
--- a/test/process/steering_test.cpp
+++ b/test/process/steering_test.cpp
@@ -61,12 +61,13 @@
     return Client.call({Method, Target, Id, "7", seconds(3)}, seconds(10));
   }
 
-  /// \return The lookup response of an entry VM's directory; null if it
-  /// failed.
-  json lookUp(size_t Vm) {
+  /// \return The lookup response of an entry VM's directory for clients of a
+  /// region; null if it failed.
+  json lookUp(size_t Vm, const std::string &Region = "north") {
     RouteClient Directory(Fleet_.vm(Vm).Directory_.getAddress());
     ClientReply Reply = Directory.call(
-        {"GET", "/api/lookup?name=shop.example&region=north&zone=north-a"},
+        {"GET", "/api/lookup?name=shop.example&region=" + Region +
+                    "&zone=" + Region + "-a"},
         seconds(5));
     return Reply.Status_ == 200 ? json::parse(Reply.Body_) : json();
   }
@@ -364,6 +365,33 @@
   CHECK(F.waitUntil([&] { return GetNamed() == 2; }));
 }
 
+TEST_CASE("steering: a VM that starts names no VMs of other regions") {
+  Fixture F({{"north-a", "south-a"}, {"one"}});
+  F.Fleet_.store().remove("config", "main");
+  ReservedPort Metrics;
+  F.Fleet_.changeSettings(0, {{"metrics", Metrics.getAddress()}});
+  auto CountOtherRegions = [&Metrics] {
+    std::string Text = RouteClient(Metrics.getAddress())
+                           .call({"GET", "/metrics"}, seconds(5))
+                           .Body_;
+    std::string Name = "\ncranberry_other_region_lookups_total ";
+    size_t At = Text.find(Name);
+    return At == std::string::npos ? -1
+                                   : std::stoi(Text.substr(At + Name.size()));
+  };
+  for (size_t I = 0; I < F.Fleet_.getVmCount(); ++I)
+    F.Fleet_.start(I);
+  REQUIRE(F.waitUntil([&] { return !F.lookUp(0, "south").is_null(); }));
+  CHECK(F.lookUp(0, "north").is_null());
+  CHECK(F.lookUp(0, "west").is_null());
+  CHECK(CountOtherRegions() == 0);
+  F.Fleet_.configure(F.makeRoutes("one"));
+  REQUIRE(F.Fleet_.waitReady(0, WaitTimeout));
+  CHECK(F.lookUp(0, "north")["addresses"].size() == 1);
+  CHECK_FALSE(F.lookUp(0, "west").is_null());
+  CHECK(CountOtherRegions() == 1);
+}
+
 TEST_CASE(
     "steering: servers that expire in a store outage are kept for a while") {
   Fixture F;
--- a/test/unit/vm_load_test.cpp
+++ b/test/unit/vm_load_test.cpp
@@ -23,7 +23,8 @@
 }
 
 std::vector<std::string> selectInZone(const MemberList &Vms) {
-  return selectLookupAddresses(Vms, "north", "north-a");
+  return selectLookupAddresses(Vms, "north", "north-a", FleetKnowledge::Full)
+      .Addresses_;
 }
 
 /// Updates \p Load with the same use for \p Length.
@@ -54,8 +55,37 @@
 
 TEST_CASE("look-up: clients of a zone without VMs use all of the region") {
   MemberList Vms{makeVm("a", 0.1), makeVm("b", 0.5), makeVm("c", 0.1)};
-  CHECK(selectLookupAddresses(Vms, "north", "north-b").size() == 3);
-  CHECK(selectLookupAddresses(Vms, "south", "south-a").size() == 3);
+  auto Select = [&Vms](const char *Region, const char *Zone) {
+    return selectLookupAddresses(Vms, Region, Zone, FleetKnowledge::Full);
+  };
+  CHECK(Select("north", "north-b").Addresses_.size() == 3);
+  CHECK_FALSE(Select("north", "north-b").HasOtherRegions_);
+  CHECK(Select("south", "south-a").Addresses_.size() == 3);
+  CHECK(Select("south", "south-a").HasOtherRegions_);
+}
+
+TEST_CASE("look-up: a VM that may not have heard of a region's VMs names none "
+          "of other regions") {
+  MemberList Vms{makeVm("a", 0.1), makeVm("b", 0.5)};
+  auto Select = [&Vms](FleetKnowledge Knowledge) {
+    return selectLookupAddresses(Vms, "south", "south-a", Knowledge);
+  };
+  for (MemberState State : {MemberState::Alive, MemberState::Suspect}) {
+    Vms[0].State_ = Vms[1].State_ = State;
+    CHECK(Select(FleetKnowledge::Partial).Addresses_.empty());
+    CHECK_FALSE(Select(FleetKnowledge::Partial).HasOtherRegions_);
+    CHECK(Select(FleetKnowledge::Full).Addresses_.size() == 2);
+    CHECK(Select(FleetKnowledge::Full).HasOtherRegions_);
+  }
+  Vms = {makeVm("a", 0.1), makeVm("b", 0.5), makeVm("c", 0.1)};
+  Vms[2].Zone_ = "south-b";
+  Vms[2].Region_ = "south";
+  for (MemberState State : {MemberState::Alive, MemberState::Suspect}) {
+    Vms[2].State_ = State;
+    LookupSelection Selected = Select(FleetKnowledge::Partial);
+    CHECK(Selected.Addresses_ == std::vector<std::string>{"c"});
+    CHECK_FALSE(Selected.HasOtherRegions_);
+  }
 }
 
 TEST_CASE("VM load: a VM is busy after seconds of high use, and idle after a "
