Fix: [Directory] A VM that can't get a version names no VMs of other regions either

A VM that knows of a newer version and can't get it isn't ready, so it leaves itself out of its answers, and what it knows of the fleet is as doubtful as that of a VM that starts: the same rule holds for both.

--- a/src/steering/steering_vm_ports.cpp
+++ b/src/steering/steering_vm_ports.cpp
@@ -46,10 +46,13 @@
   if (!isReady())
     std::erase_if(Vms,
                   [this](const Member &Vm) { return Vm.Vm_ == Settings_.Vm_; });
-  // A VM that starts may not have heard of the VMs of a region yet.
-  LookupSelection Selected = selectLookupAddresses(
-      Vms, Question->Region_, Question->Zone_,
-      View_.isComplete() ? FleetKnowledge::Full : FleetKnowledge::Partial);
+  // A VM that starts, or can't get a version that others have, may not have
+  // heard of the VMs of a region.
+  LookupSelection Selected =
+      selectLookupAddresses(Vms, Question->Region_, Question->Zone_,
+                            View_.isComplete() && !Configs_.isOutdated(getNow())
+                                ? FleetKnowledge::Full
+                                : FleetKnowledge::Partial);
   bool IsEmpty = Selected.Addresses_.empty();
   Metrics_.countLookup(IsEmpty ? ResultCode::NoEntryVm : ResultCode::Ok);
   if (Selected.HasOtherRegions_)
