Fix: [Request] Requests that wait or are retried follow the homes in force

What callers saw: requests outside their home region, suspected from reading and from the tests below; not traced in the incident itself.

Cause: a request got its home regions on arrival and kept them. When a version with other homes came into force on its VM, a request in the queue, or one that was retried later, still went by the homes of the older version.

Fix: RequestRouter::setRouting() looks up route and workspace of each open request by name and replaces its homes if they differ, in the balancer's copy as well. The copy is changed in place: to cancel and submit it again, as a shorter deadline does, would count it as a second arrival in the demand and move it behind later ones. If the route or the workspace is gone, the request keeps its homes. Attempts in flight go on.

Cost: a flag for each open request, and one pass over routes, workspaces and open requests for a version; none without open requests. Not measured.

Test: the stand-in server can now answer the requests that it holds, so that the tests wait on conditions only (gauges of waiting requests and of the version).

Not tested: a queued retry beside an attempt in flight, routes that are gone.

--- a/src/request/service_balancer.cpp
+++ b/src/request/service_balancer.cpp
@@ -101,16 +101,30 @@
   });
 }
 
+std::vector<WaitingRequest>::iterator
+ServiceBalancer::findWaiting(FlowIndex Flow) {
+  return std::find_if(
+      Waiting_.begin(), Waiting_.end(),
+      [Flow](const WaitingRequest &R) { return R.Flow_ == Flow; });
+}
+
 bool ServiceBalancer::cancelWaiting(FlowIndex Flow) {
-  auto Found =
-      std::find_if(Waiting_.begin(), Waiting_.end(),
-                   [Flow](const WaitingRequest &R) { return R.Flow_ == Flow; });
+  auto Found = findWaiting(Flow);
   if (Found == Waiting_.end())
     return false;
   Waiting_.erase(Found);
   return true;
 }
 
+bool ServiceBalancer::setHomeRegions(FlowIndex Flow,
+                                     std::vector<std::string> Regions) {
+  auto Found = findWaiting(Flow);
+  if (Found == Waiting_.end())
+    return false;
+  Found->HomeRegions_ = std::move(Regions);
+  return true;
+}
+
 void ServiceBalancer::endAttempt(const EndedAttempt &Ended, Time Now) {
   auto Found = Servers_.find(Ended.Server_);
   if (Found == Servers_.end())
--- a/src/request/service_balancer_base.h
+++ b/src/request/service_balancer_base.h
@@ -47,6 +47,11 @@
   /// \return Whether it was queued.
   bool cancelWaiting(FlowIndex Flow);
 
+  /// Changes the home regions of a queued request, which keeps its place.
+  /// \param Regions Allowed regions; empty for any.
+  /// \return Whether it was queued.
+  bool setHomeRegions(FlowIndex Flow, std::vector<std::string> Regions);
+
   /// Handles the end of an attempt that step() started.
   void endAttempt(const EndedAttempt &Ended, Time Now);
 
@@ -95,6 +100,8 @@
   using ServerMap =
       absl::flat_hash_map<std::string, std::unique_ptr<ServerState>>;
 
+  std::vector<WaitingRequest>::iterator findWaiting(FlowIndex Flow);
+
   /// A server considered for a request, with its cost.
   struct Candidate {
     ServerState *Server_ = nullptr; ///< Server, or null.
--- a/src/steering/client_flow_type.h
+++ b/src/steering/client_flow_type.h
@@ -66,6 +66,7 @@
   bool IsQueued_ = false;        ///< Whether the balancer queues it.
   bool MayHaveRun_ = false;      ///< Whether it may have been executed.
   bool IsCutByShutdown_ = false; ///< Whether the shutdown set its deadline.
+  bool IsHomeless_ = false;      ///< Whether it may run nowhere any more.
   std::string LastServer_;       ///< Server of the last attempt.
   std::unique_ptr<ResponseMessage>
       FailureResponse_; ///< Failure response of a server.
--- a/src/steering/request_router.cpp
+++ b/src/steering/request_router.cpp
@@ -75,6 +75,7 @@
         [&](const RouteConfig &Route) { return Route.Name_ == Entry.first; });
   });
   refuseWithdrawnKeys();
+  updateHomes();
 }
 
 void RequestRouter::setServers(const ServerRegistry &Registry,
--- a/src/steering/request_router_attempts.cpp
+++ b/src/steering/request_router_attempts.cpp
@@ -254,7 +254,8 @@
 }
 
 bool RequestRouter::tryRetry(ClientFlow &Flow, AttemptOutcome Outcome) {
-  if (!Workspaces_.isStillAdmitted(Flow.Key_, Flow.Workspace_))
+  if (Flow.IsHomeless_ ||
+      !Workspaces_.isStillAdmitted(Flow.Key_, Flow.Workspace_))
     return false;
   Time Now = getNow();
   ServicePool &Pool = *Flow.Pool_;
--- a/src/steering/request_router_base.h
+++ b/src/steering/request_router_base.h
@@ -141,6 +141,8 @@
     return GetCurrency_ ? GetCurrency_() : ConfigCurrency();
   }
   void refuseWithdrawnKeys();
+  void updateHomes();
+  bool applyHomes(ClientFlow &Flow, AllowedRegions Homes);
   std::string pickService(const RouteConfig &Route);
   std::unique_ptr<ClientFlow> makeFlow(const IngressExchangePtr &Exchange,
                                        const RouteConfig &Route,
--- a/standin/routed_server.cpp
+++ b/standin/routed_server.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <stdexcept>
+#include <utility>
 
 namespace cranberry::standin {
 
@@ -65,6 +66,13 @@
   Thread_.call([&] { ServiceTime_ = ServiceTime; });
 }
 
+void RoutedServer::releaseHeld() {
+  Thread_.call([&] {
+    for (const IngressExchangePtr &Exchange : std::exchange(Held_, {}))
+      finish(Exchange);
+  });
+}
+
 void RoutedServer::setRateLimit(std::optional<double> PerSecond) {
   Thread_.call([&] { RateLimit_ = PerSecond; });
 }
--- a/standin/routed_server_base.h
+++ b/standin/routed_server_base.h
@@ -58,6 +58,9 @@
   void setFault(ResponseFault Fault);
   void setServiceTime(Duration ServiceTime);
 
+  /// Responds to the requests that the server has left unanswered.
+  void releaseHeld();
+
   /// Names a limit in all responses from now on, or none.
   /// \param PerSecond Requests per second from all entry VMs together.
   void setRateLimit(std::optional<double> PerSecond);
--- a/test/process/workspace_test.cpp
+++ b/test/process/workspace_test.cpp
@@ -60,6 +60,104 @@
   int Count_ = 0;      ///< Number of requests.
 };
 
+/// A fleet in which homes change while requests are open on the VM in north.
+class HomesFixture {
+public:
+  explicit HomesFixture(unsigned ServersPerZone)
+      : Test_({{"north-a", "south-a"}, {"one"}, ServersPerZone, 1}) {
+    Test_.Fleet_.changeSettings(0, {{"metrics", Metrics_.getAddress()}});
+    setHomes({"north"});
+    Test_.startAll();
+    REQUIRE(waitForGauge("usable_servers", "one", 2 * ServersPerZone));
+  }
+
+  void setHomes(const json &Workspace, const json &Route = json::array()) {
+    json Read = makeRoute("r-read", "/read/", "one", true, Timeout);
+    Read["homeRegions"] = Route;
+    Version_ = Test_.Fleet_.configure(
+        json::array({Read}),
+        json::array({makeWorkspace("acme", {"k1"}, Workspace)}));
+  }
+
+  bool waitForVersion() {
+    return waitForGauge("config_version", "force", Version_);
+  }
+
+  bool waitForGauge(const std::string &Name, const std::string &Of,
+                    unsigned Value) {
+    std::string Line = "\ncranberry_" + Name + "{of=\"" + Of + "\"} " +
+                       std::to_string(Value) + "\n";
+    return SteeringFixture::waitUntil([&] { return hasMetric(Line); });
+  }
+
+  bool hasMetric(const std::string &Text) {
+    ClientReply Reply = RouteClient(Metrics_.getAddress())
+                            .call({"GET", "/metrics"}, seconds(5));
+    return Reply.Body_.find(Text) != std::string::npos;
+  }
+
+  std::future<unsigned> callInThread(const std::string &Id) {
+    return std::async(std::launch::async, [this, Id] {
+      return RouteClient(Test_.Fleet_.vm(0).FrontLink_->getAddress())
+          .call({"GET",
+                 "/read/x",
+                 Id,
+                 "",
+                 Timeout,
+                 {{"Authorization", "Bearer k1"}}},
+                2 * Timeout)
+          .Status_;
+    });
+  }
+
+  /// Starts a request that a server in north leaves unanswered.
+  /// \return Link to that server.
+  Link &hangInNorth(const std::string &Id, std::future<unsigned> &Status) {
+    forEachInNorth([](FleetServer &Server) {
+      Server.Server_->setFault(ResponseFault::Silent);
+    });
+    Status = callInThread(Id);
+    REQUIRE(SteeringFixture::waitUntil(
+        [&] { return Test_.getArrivals("north-a") == 1; }));
+    Link *Result = nullptr;
+    forEachInNorth([&](FleetServer &Server) {
+      Server.Server_->setFault(ResponseFault::None);
+      if (Server.Server_->getArrivals() == 1)
+        Result = Server.Link_.get();
+    });
+    return *Result;
+  }
+
+  void releaseInNorth() {
+    forEachInNorth([](FleetServer &Server) { Server.Server_->releaseHeld(); });
+  }
+
+  /// \return Zones in which a request ran.
+  std::vector<std::string> getZones(const std::string &Id) {
+    std::vector<std::string> Zones;
+    for (FleetServer &Server : Test_.Fleet_.servers())
+      for (const ServerRun &Run : Server.Server_->getRuns())
+        if (Run.AttemptId_ == Id)
+          Zones.push_back(Server.Zone_);
+    return Zones;
+  }
+
+private:
+  static constexpr Duration Timeout = seconds(20);
+
+  template <typename F> void forEachInNorth(F Action) {
+    for (FleetServer &Server : Test_.Fleet_.servers())
+      if (Server.Zone_ == "north-a")
+        Action(Server);
+  }
+
+  ReservedPort Metrics_; ///< Port for metrics of the VM in north.
+  SteeringFixture Test_; ///< Fleet with one slot a server.
+  unsigned Version_ = 0; ///< Last published configuration version.
+};
+
+using Zones = std::vector<std::string>;
+
 } // namespace
 
 TEST_CASE("workspace: a request is served under its workspace's key") {
@@ -166,3 +264,50 @@
   CHECK(Running.get() == 200);
   CHECK(Second.getRun().first.AttemptId_.empty());
 }
+
+TEST_CASE("workspace: a request that waits when its homes change doesn't run "
+          "in the old ones, and one that is in flight goes on") {
+  HomesFixture Test(1);
+  std::future<unsigned> Running;
+  Test.hangInNorth("first", Running);
+  std::future<unsigned> Waiting = Test.callInThread("second");
+  REQUIRE(Test.waitForGauge("waiting_requests", "one", 1));
+  SECTION("to another region") {
+    Test.setHomes({"south"});
+    REQUIRE(Test.waitForVersion());
+    Test.releaseInNorth();
+    CHECK(Waiting.get() == 200);
+    CHECK(Test.getZones("second") == Zones{"south-a"});
+  }
+  SECTION("to none") {
+    Test.setHomes({"south"}, {"north"});
+    REQUIRE(Test.waitForVersion());
+    Test.releaseInNorth();
+    CHECK(Waiting.get() == 503);
+    CHECK(Test.hasMetric("result=\"homes-disjoint\""));
+    CHECK(Test.getZones("second").empty());
+  }
+  CHECK(Running.get() == 200);
+  CHECK(Test.getZones("first") == Zones{"north-a"});
+}
+
+TEST_CASE("workspace: a request whose homes change during its first attempt "
+          "isn't retried in the old ones") {
+  HomesFixture Test(2);
+  std::future<unsigned> Status;
+  Link &Path = Test.hangInNorth("id", Status);
+  SECTION("to another region") {
+    Test.setHomes({"south"});
+    REQUIRE(Test.waitForVersion());
+    Path.setMode(LinkMode::Cut);
+    CHECK(Status.get() == 200);
+    CHECK(Test.getZones("id") == Zones{"north-a", "south-a"});
+  }
+  SECTION("to none") {
+    Test.setHomes({"south"}, {"north"});
+    REQUIRE(Test.waitForVersion());
+    Path.setMode(LinkMode::Cut);
+    CHECK(Status.get() == 502);
+    CHECK(Test.getZones("id") == Zones{"north-a"});
+  }
+}
