--- a/src/steering/request_router_attempts.cpp
+++ b/src/steering/request_router_attempts.cpp
@@ -88,8 +88,8 @@
   }
   uint64_t Newest = getCurrency().Newest_;
   if (!Flow.Request_.HomeRegions_.empty())
-    ++(Flow.Config_->Version_ < Newest ? HomedAttempts_.Outdated_
-                                       : HomedAttempts_.Current_);
+    ++(Config_->Version_ < Newest ? HomedAttempts_.Outdated_
+                                  : HomedAttempts_.Current_);
   Log_.write(Now, "attempt-start",
              {{"request", Flow.Id_},
               {"service", Pool.Name_},
@@ -264,9 +264,9 @@
 
 bool RequestRouter::tryRetry(ClientFlow &Flow, AttemptOutcome Outcome) {
   ConfigCurrency Currency = getCurrency();
-  if (!Workspaces_.isStillAdmitted(Flow.Key_, Flow.Workspace_) ||
-      Currency.IsOutdated_ ||
-      (!Flow.Request_.HomeRegions_.empty() && !Currency.AreHomesConfirmed_))
+  if (Flow.IsHomeless_ || Currency.IsOutdated_ ||
+      (!Flow.Request_.HomeRegions_.empty() && !Currency.AreHomesConfirmed_) ||
+      !Workspaces_.isStillAdmitted(Flow.Key_, Flow.Workspace_))
     return false;
   Time Now = getNow();
   ServicePool &Pool = *Flow.Pool_;
