--- a/src/process/peer_version_tracker.cpp
+++ b/src/process/peer_version_tracker.cpp
@@ -15,7 +15,7 @@
 void PeerVersionTracker::recordReport(uint64_t Version, Time Now) {
   if (Version == InForce_)
     recordConfirmation(Now);
-  if (Version <= InForce_ || !Newer_.try_emplace(Version, Now).second)
+  if (Version <= InForce_ || !Newer_.try_emplace(Version, Report{Now}).second)
     return;
   if (Newer_.size() > MaxVersions)
     Newer_.erase(Newer_.begin());
@@ -23,19 +23,20 @@
 
 bool PeerVersionTracker::isBehind(Time Now) const {
   return std::any_of(Newer_.begin(), Newer_.end(), [Now](const auto &Each) {
-    return Now - Each.second < MaxDoubt;
+    return Now - Each.second.First_ < MaxDoubt;
   });
 }
 
 bool PeerVersionTracker::isOverdue(Time Now, Duration Limit) const {
   return std::any_of(Newer_.begin(), Newer_.end(), [&](const auto &Each) {
-    Duration Age = Now - Each.second;
-    return Each.first > Unavailable_ && Age >= Limit && Age < MaxDoubt;
+    Duration Age = Now - Each.second.First_;
+    return !Each.second.IsUnavailable_ && Age >= Limit && Age < MaxDoubt;
   });
 }
 
 void PeerVersionTracker::recordUnavailable(uint64_t Version) {
-  Unavailable_ = std::max(Unavailable_, Version);
+  if (auto Found = Newer_.find(Version); Found != Newer_.end())
+    Found->second.IsUnavailable_ = true;
 }
 
 bool PeerVersionTracker::startFetch(uint64_t Version, Time Now) {
@@ -43,7 +44,7 @@
     return false;
   bool IsDue =
       std::any_of(Newer_.begin(), Newer_.end(), [Now](const auto &Each) {
-        Duration Age = Now - Each.second;
+        Duration Age = Now - Each.second.First_;
         return Age >= FetchDelay && Age < MaxDoubt;
       });
   if (IsDue)
@@ -52,14 +53,15 @@
 }
 
 bool PeerVersionTracker::startPoll(Time Now) {
-  if (Now - LastFetch_ < FetchInterval)
+  if (Now - LastPoll_ < FetchInterval)
     return false;
-  LastFetch_ = Now;
+  LastPoll_ = Now;
   return true;
 }
 
 void PeerVersionTracker::recordConfirmation(Time Now) {
-  Confirmed_ = std::max(Confirmed_, Now);
+  if (!isOverdue(Now, Duration(0)))
+    Confirmed_ = std::max(Confirmed_, Now);
 }
 
 uint64_t PeerVersionTracker::getNewest() const {
--- a/src/process/peer_version_tracker_base.h
+++ b/src/process/peer_version_tracker_base.h
@@ -33,7 +33,7 @@
   /// still isn't in force here, although some VM may supply it.
   bool isOverdue(Time Now, Duration Limit) const;
 
-  /// Records that the VM that reports \p Version has responded without it.
+  /// Records that the VM that reported \p Version has responded without it.
   void recordUnavailable(uint64_t Version);
 
   /// Decides whether to fetch a version from the VM that has just reported it.
@@ -43,10 +43,11 @@
   bool startFetch(uint64_t Version, Time Now);
 
   /// Decides whether to ask another VM for its version, without a report.
-  /// \return True at most once per FetchInterval, and then counts as a fetch.
+  /// \return True at most once per FetchInterval, and then counts as a poll.
   bool startPoll(Time Now);
 
-  /// Records that another VM has confirmed the version in force here.
+  /// Records that another VM has the version in force here as well. Ignored
+  /// while a newer one is known: that VM may have missed it, too.
   void recordConfirmation(Time Now);
 
   /// \return Last time at which another VM confirmed the version in force here,
@@ -69,11 +70,17 @@
   /// Limits the memory that reports take.
   static constexpr size_t MaxVersions = 32;
 
-  uint64_t InForce_ = 0;           ///< Version in force here.
-  std::map<uint64_t, Time> Newer_; ///< Newer versions, with their first report.
-  uint64_t Unavailable_ = 0;       ///< See recordUnavailable().
-  Time LastFetch_;                 ///< Start of the last fetch.
-  Time Confirmed_;                 ///< See getLastConfirmation().
+  uint64_t InForce_ = 0; ///< Version in force here.
+  /// What is known of a newer version.
+  struct Report {
+    Time First_;                 ///< First report.
+    bool IsUnavailable_ = false; ///< See recordUnavailable().
+  };
+
+  std::map<uint64_t, Report> Newer_; ///< Newer versions.
+  Time LastFetch_;                   ///< Start of the last fetch.
+  Time LastPoll_;                    ///< Start of the last poll.
+  Time Confirmed_;                   ///< See getLastConfirmation().
 };
 
 } // namespace cranberry
--- a/src/steering/config_exchange.cpp
+++ b/src/steering/config_exchange.cpp
@@ -20,8 +20,9 @@
 constexpr Duration FetchTimeout = seconds(8);
 constexpr Duration ConnectTimeout = seconds(4);
 
-/// Fetches in flight at a time. Other VMs are asked while one doesn't respond.
-constexpr unsigned MaxFetches = 8;
+/// Fetches and polls in flight at a time, of each kind. Other VMs are asked
+/// while one doesn't respond.
+constexpr unsigned MaxFetches = 4;
 
 /// Share of the bound after which a VM that hears nothing asks others.
 constexpr double PollDelayShare = 0.375;
@@ -41,8 +42,8 @@
 } // namespace
 
 ConfigExchange::ConfigExchange(boost::asio::io_context &Loop, StoreView &View,
-                               EventLog &Log)
-    : View_(View), Log_(Log), Client_(Loop) {}
+                               EventLog &Log, uint64_t Seed)
+    : View_(View), Log_(Log), Client_(Loop), NextPolled_(Seed) {}
 
 void ConfigExchange::onVersionReported(const std::string &Peer,
                                        uint64_t Version) {
@@ -60,8 +61,9 @@
 }
 
 Duration ConfigExchange::getConfirmationAge(Time Now) const {
-  return std::min(Now - Versions_.getLastConfirmation(),
-                  View_.getServerAge(Now));
+  Duration Age = Now - Versions_.getLastConfirmation();
+  return View_.isConfigUnavailable() ? Age
+                                     : std::min(Age, View_.getServerAge(Now));
 }
 
 bool ConfigExchange::isOutdated(Time Now) const {
@@ -74,7 +76,7 @@
 
 bool ConfigExchange::shouldPoll() {
   Time Now = getNow();
-  return View_.getVersion() != 0 && FetchCount_ < MaxFetches &&
+  return View_.getVersion() != 0 && PollCount_ < MaxFetches &&
          getConfirmationAge(Now) >= scaleDuration(Bound_, PollDelayShare) &&
          Versions_.startPoll(Now);
 }
@@ -91,18 +93,21 @@
   Call.Headers_.emplace_back("If-None-Match", absl::StrCat(View_.getVersion()));
   Call.Timeout_ = FetchTimeout;
   Call.ConnectTimeout_ = ConnectTimeout;
-  ++FetchCount_;
+  unsigned &Count = Version == 0 ? PollCount_ : FetchCount_;
+  ++Count;
   Time Asked = getNow();
-  Client_.startCall(std::move(Call), [this, Peer, Version,
-                                      Asked](const HttpResult &Result) {
-    --FetchCount_;
+  Client_.startCall(std::move(Call), [this, Peer, Version, Asked,
+                                      &Count](const HttpResult &Result) {
+    --Count;
     Reason Why;
     bool IsReceived = Result.Code_ == ResultCode::Ok && Result.Status_ == Ok;
     bool IsApplied = IsReceived && View_.applyRelayed(Result.Body_, Why);
     AppliedCount_ += IsApplied ? 1 : 0;
-    if (IsReceived && View_.getVersion() < Version)
+    bool IsSame =
+        Result.Code_ == ResultCode::Ok && Result.Status_ == NotModified;
+    if ((IsReceived || IsSame) && View_.getVersion() < Version)
       Versions_.recordUnavailable(Version);
-    if (Result.Code_ == ResultCode::Ok && Result.Status_ == NotModified)
+    if (IsSame)
       Versions_.recordConfirmation(Asked);
     Log_.write(getNow(), "config-fetched",
                {{"peer", Peer},
--- a/src/steering/config_exchange_base.h
+++ b/src/steering/config_exchange_base.h
@@ -22,7 +22,9 @@
   /// Path of requests for the configuration on the port for other entry VMs.
   static constexpr const char *Path = "/v1/config";
 
-  ConfigExchange(boost::asio::io_context &Loop, StoreView &View, EventLog &Log);
+  /// \param Seed Differs between VMs, so that they ask different ones first.
+  ConfigExchange(boost::asio::io_context &Loop, StoreView &View, EventLog &Log,
+                 uint64_t Seed);
 
   /// \param Version Version that has taken effect here.
   void setInForce(uint64_t Version) { Versions_.setInForce(Version, getNow()); }
@@ -75,8 +77,9 @@
   HttpClient Client_;           ///< Connections to other VMs.
   uint64_t AppliedCount_ = 0;   ///< See getAppliedCount().
   Duration Bound_{0};           ///< See setBound().
-  size_t NextPolled_ = 0;       ///< Counts polls, for the choice of a VM.
+  size_t NextPolled_;           ///< Counts polls, for the choice of a VM.
   unsigned FetchCount_ = 0;     ///< Fetches without a response so far.
+  unsigned PollCount_ = 0;      ///< Polls without a response so far.
 };
 
 } // namespace cranberry
--- a/src/steering/peer_exchange.cpp
+++ b/src/steering/peer_exchange.cpp
@@ -50,12 +50,13 @@
 }
 
 std::vector<std::string> PeerExchange::getPeerAddresses() const {
+  MemberList Vms = Membership_.getMembers();
+  if (Vms.size() == 1)
+    Vms = Membership_.getGoneMembers();
   std::vector<std::string> Result;
-  for (const MemberList &Vms :
-       {Membership_.getMembers(), Membership_.getGoneMembers()})
-    for (const Member &Vm : Vms)
-      if (Vm.Vm_ != Membership_.getSelf().Vm_)
-        Result.push_back(Vm.PeerAddress_);
+  for (const Member &Vm : Vms)
+    if (Vm.Vm_ != Membership_.getSelf().Vm_)
+      Result.push_back(Vm.PeerAddress_);
   return Result;
 }
 
--- a/src/steering/peer_exchange_base.h
+++ b/src/steering/peer_exchange_base.h
@@ -71,7 +71,8 @@
   /// Announces to all members that this VM is leaving.
   void announceLeave();
 
-  /// \return Peer addresses of all other VMs, those that are gone included.
+  /// \return Peer addresses of the other VMs that may serve, or of those that
+  /// are gone if there are none.
   std::vector<std::string> getPeerAddresses() const;
 
   /// \return This VM and all others that may serve.
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -58,7 +58,7 @@
              [this] { onMembersChanged(); }),
       RateShares_(Loop_, Router_, Peers_, Log_),
       Quotas_(Loop_, Router_.getWorkspaces(), Peers_, Log_),
-      Configs_(Loop_, View_, Log_), VmLoad_(Settings_),
+      Configs_(Loop_, View_, Log_, Incarnation), VmLoad_(Settings_),
       ClientPort_(
           Loop_,
           [this](const IngressExchangePtr &E) { Router_.handleRequest(E); }),
--- a/src/steering/store_view_base.h
+++ b/src/steering/store_view_base.h
@@ -97,6 +97,9 @@
   /// \return Time since the servers were last read.
   Duration getServerAge(Time Now) const { return ServerFollower_.getAge(Now); }
 
+  /// \return Whether the last read of the configuration failed.
+  bool isConfigUnavailable() const { return ConfigFollower_.isUnavailable(); }
+
   /// \return Whether a newer configuration would be known. The servers come
   /// from the same source and are read all the time.
   bool isConfigCurrent(Time Now) const {
--- a/test/process/outdated_homes_test.cpp
+++ b/test/process/outdated_homes_test.cpp
@@ -62,6 +62,7 @@
   F.setHome("south");
   SteeringFixture::waitForPropagation();
   CHECK(F.countInNorth(Unavailable) == 0);
+  CHECK(F.getStatus("/read/x") == Unavailable);
   F.Fleet_.vm(0).StoreLink_->setMode(LinkMode::Pass);
   F.Fleet_.vm(1).PeerLink_->setMode(LinkMode::Pass);
   CHECK(SteeringFixture::waitUntil(
@@ -82,6 +83,19 @@
   }));
 }
 
+TEST_CASE("homes: a version reaches a VM that no other one can reach") {
+  Fixture F;
+  F.Fleet_.vm(0).PeerLink_->setMode(LinkMode::Silent);
+  F.Fleet_.vm(1).PeerLink_->setDelay(milliseconds(500));
+  F.Fleet_.vm(0).StoreLink_->setMode(LinkMode::Silent);
+  F.setHome("south");
+  unsigned South = F.getArrivals("south-a");
+  CHECK(SteeringFixture::waitUntil([&F, South] {
+    F.getStatus("/home/x");
+    return F.getArrivals("south-a") > South;
+  }));
+}
+
 TEST_CASE("homes: a VM that hears from nobody refuses requests with homes, and "
           "no others") {
   Fixture F;
--- a/test/unit/peer_version_test.cpp
+++ b/test/unit/peer_version_test.cpp
@@ -91,15 +91,22 @@
   CHECK(Versions.getLastConfirmation() == Start);
   Time Later = Start + seconds(3);
   Versions.recordReport(4, Later);
-  Versions.recordReport(6, Later);
   CHECK(Versions.getLastConfirmation() == Start);
   Versions.recordReport(5, Later);
   CHECK(Versions.getLastConfirmation() == Later);
   CHECK(Versions.startPoll(Later));
   Time Due = Later + PeerVersionTracker::FetchInterval;
   CHECK_FALSE(Versions.startPoll(Due - milliseconds(1)));
-  CHECK_FALSE(Versions.startFetch(6, Due - milliseconds(1)));
   CHECK(Versions.startPoll(Due));
+  // Polls don't put off the fetch from a VM that has reported a newer version.
+  Versions.recordReport(6, Later);
+  CHECK(Versions.startFetch(6, Due));
+  // A VM that is behind as well confirms nothing.
+  Versions.recordReport(5, Due);
+  CHECK(Versions.getLastConfirmation() == Later);
+  Versions.recordUnavailable(6);
+  Versions.recordReport(5, Due);
+  CHECK(Versions.getLastConfirmation() == Due);
 }
 
 TEST_CASE("peer version: a version is overdue until it is in force, or its VM "
@@ -118,6 +125,8 @@
   CHECK_FALSE(Versions.isOverdue(Start + Limit, Limit));
   Versions.recordReport(8, Start);
   CHECK(Versions.isOverdue(Start + Limit, Limit));
+  Versions.recordUnavailable(1000);
+  CHECK(Versions.isOverdue(Start + Limit, Limit));
   Versions.setInForce(8, Start);
   CHECK_FALSE(Versions.isOverdue(Start + Limit, Limit));
 }
