Fix: [Store] A list goes on after any name

Cause: StoreClient::list() put the name after which a list goes on into the request's target as it was. A blank, # or a byte beyond ASCII makes a request that the store refuses, so that the follower lists again for ever. & and + make another name, so that the store sends the same page again for ever. "%41" makes another name too; the servers between the two are left out.

Fix: encodePercent() leaves nothing but the unreserved characters of RFC 3986, so that each name is one value of the query for every reader of targets.

The stand-in of the store decodes queries and paths now, as it has to.

--- a/src/net/http_target.cpp
+++ b/src/net/http_target.cpp
@@ -1,6 +1,7 @@
 /// \file http_target.cpp Parsing of HTTP request targets.
 #include "net/http_target_func.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
@@ -18,6 +19,22 @@
 
 } // namespace
 
+std::string encodePercent(std::string_view Text) {
+  constexpr char Digits[] = "0123456789ABCDEF";
+  constexpr unsigned DigitBits = 4;
+  constexpr unsigned DigitMask = 15;
+  std::string Out;
+  for (char C : Text) {
+    auto Byte = static_cast<unsigned char>(C);
+    if (absl::ascii_isalnum(Byte) ||
+        std::string_view("-._~").find(C) != std::string_view::npos)
+      Out += C;
+    else
+      Out += {'%', Digits[Byte >> DigitBits], Digits[Byte & DigitMask]};
+  }
+  return Out;
+}
+
 std::string decodePercent(std::string_view Text) {
   constexpr size_t EscapeLength = 3;
   constexpr int Hex = 16;
--- a/src/net/http_target_func.h
+++ b/src/net/http_target_func.h
@@ -8,6 +8,10 @@
 
 namespace cranberry {
 
+/// Encodes all bytes but the unreserved characters of RFC 3986, so that the
+/// result can stand in any part of a target.
+std::string encodePercent(std::string_view Text);
+
 /// Decodes percent escapes ("%xx"). Invalid escapes are left unchanged.
 std::string decodePercent(std::string_view Text);
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -1,6 +1,7 @@
 /// \file store_client.cpp HTTP client for the platform's store.
 #include "platform/store_client_base.h"
 
+#include "net/http_target_func.h"
 #include "platform/wire_names.h"
 
 #include <absl/strings/numbers.h>
@@ -78,7 +79,7 @@
   std::string Target = absl::StrCat(path::Objects, Kind);
   char Separator = '?';
   if (!After.empty()) {
-    absl::StrAppend(&Target, "?after=", After);
+    absl::StrAppend(&Target, "?after=", encodePercent(After));
     Separator = '&';
   }
   if (Mode == ReadMode::MayBeStale)
--- a/standin/object_store.cpp
+++ b/standin/object_store.cpp
@@ -2,6 +2,7 @@
 #include "standin/object_store_base.h"
 
 #include "net/http_message_func.h"
+#include "net/http_target_func.h"
 #include "platform/wire_names.h"
 
 #include <absl/strings/numbers.h>
@@ -28,16 +29,6 @@
 /// How often pending watches are checked for expiry.
 constexpr Duration WatchCheckPeriod = milliseconds(20);
 
-std::map<std::string, std::string> parseQuery(const std::string &Text) {
-  std::map<std::string, std::string> Result;
-  for (absl::string_view Field : absl::StrSplit(Text, '&', absl::SkipEmpty())) {
-    std::pair<std::string, std::string> Pair =
-        absl::StrSplit(Field, absl::MaxSplits('=', 1));
-    Result.insert(Pair);
-  }
-  return Result;
-}
-
 uint64_t toNumber(const std::string &Text) {
   uint64_t Number = 0;
   return absl::SimpleAtoi(Text, &Number) ? Number : 0;
@@ -231,7 +222,8 @@
     reply(Exchange, NotFound, json::object());
     return;
   }
-  std::string Name = Path.size() > KindPart + 1 ? Path[KindPart + 1] : "";
+  std::string Name =
+      Path.size() > KindPart + 1 ? decodePercent(Path[KindPart + 1]) : "";
   if (IsRead)
     read(Exchange, Path[KindPart], Name, parseQuery(Parts.second));
   else
--- a/test/unit/connection_test.cpp
+++ b/test/unit/connection_test.cpp
@@ -242,6 +242,11 @@
 
 TEST_CASE("percent escapes of a request target are decoded once and invalid "
           "ones are kept") {
+  std::string AllBytes;
+  for (int Byte = 0; Byte < 256; ++Byte)
+    AllBytes += static_cast<char>(Byte);
+  CHECK(decodePercent(encodePercent(AllBytes)) == AllBytes);
+  CHECK(encodePercent("aZ0-._~ +&") == "aZ0-._~%20%2B%26");
   CHECK(decodePercent("a%20b%2525+c") == "a b%25+c");
   CHECK(decodePercent("%zz%4") == "%zz%4");
   CHECK(decodePercent("%") == "%");
--- a/test/unit/store_follower_test.cpp
+++ b/test/unit/store_follower_test.cpp
@@ -69,6 +69,15 @@
   StoreFollower Follower_;            ///< Follower under test.
 };
 
+/// \return Names that other writers may give to their entries.
+std::vector<std::string> makeOddNames() {
+  return {"i-a&b",   "i-a+b",  "i-a#b",    "i-a%b",       "i-a b",
+          "i-a%41b", "i-a%00", "i-a=b;c",  "i-a?b",       "i-a/b",
+          "i-a\\b",  "i-a\"b", "i-a\r\nb", "i-a\x01\x7f", "&",
+          "+",       "#",      "%",        " ",           "i-a\u00e9\u20ac",
+          "..",      ".",      "i-a ",     "&watch=1"};
+}
+
 } // namespace
 
 TEST_CASE("follower: lists in pages, then receives each change") {
@@ -124,6 +133,25 @@
   CHECK(F.runUntil([&] { return F.Known_["a"] == 2; }, seconds(2)));
 }
 
+// Guards against a name that changes the request in which it is sent.
+TEST_CASE("follower: a list goes on after any name") {
+  for (const std::string &Odd : makeOddNames()) {
+    CAPTURE(Odd);
+    Fixture F;
+    F.Store_.setPageSize(1);
+    std::map<std::string, json> Expected;
+    for (const std::string &Name : {std::string("a"), Odd, Odd + "b",
+                                    std::string("i-1"), std::string("z")}) {
+      F.Store_.put("things", Name, Name);
+      Expected[Name] = Name;
+    }
+    F.Follower_.start();
+    REQUIRE(F.runUntil([&] { return F.ListCount_ > 0; }, seconds(5)));
+    CHECK(F.Known_ == Expected);
+    CHECK(F.UnavailableCount_ == 0);
+  }
+}
+
 TEST_CASE(
     "store client: conditional writes and lost responses have their status") {
   Fixture F;
