Fix: [Net] A connection lost while a request is written ends no response

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. If the write meets it, the read sees the same end of the stream as after an orderly close, and a response without a length ends with that.

Fix: the end of the stream completes a response without a length only if the write has met no error. At the end, a write in flight is ended by closing the socket, so that its result is known before the response is judged, in whatever order the handlers run. A broken pipe is no such error: the kernel reports it for a reset after the server's orderly close, when all of the response has arrived. A timeout that the write meets counts as lost as well (not tested).

All answers are read by this class: those of servers, of the store and of other VMs.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -62,6 +62,16 @@
   Socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(Probes), Ignored);
 }
 
+/// \return Whether a write with this result shows that the connection was lost
+/// rather than closed in order.
+bool isConnectionLost(const error_code &Error) {
+  // A reset that follows the server's orderly close is a broken pipe. The last
+  // two come from closing the socket here.
+  return Error && Error != boost::asio::error::broken_pipe &&
+         Error != boost::asio::error::operation_aborted &&
+         Error != boost::asio::error::bad_descriptor;
+}
+
 /// \return Time after \p Response during which its connection may be reused.
 Duration getIdleTimeout(const ResponseMessage &Response) {
   Duration Result = DefaultIdleTimeout;
@@ -134,19 +144,27 @@
 void ServerConnection::startRequest() {
   IsReusable_ = false;
   IsWriting_ = true;
+  IsLostInWrite_ = false;
   SkippedResponses_ = 0;
   Reader_.reset();
   boost::asio::async_write(
       Socket_, boost::asio::buffer(Spec_.Bytes_),
       [Self = shared_from_this()](error_code Error, size_t) {
-        Self->IsWriting_ = false;
-        // The read reports the error as well, after any response that the
-        // server sent before.
-        if (Error)
-          Self->IsReusable_ = false;
+        Self->onWriteComplete(Error);
       });
 }
 
+void ServerConnection::onWriteComplete(const error_code &Error) {
+  IsWriting_ = false;
+  // The read reports the end of the connection, after any response that the
+  // server sent before.
+  if (Error)
+    IsReusable_ = false;
+  IsLostInWrite_ = isConnectionLost(Error);
+  if (IsEndReceived_ && OnComplete_)
+    handleEnd();
+}
+
 void ServerConnection::read() {
   Socket_.async_read_some(
       ReadBuffer_.prepare(ReadBytes),
@@ -169,14 +187,30 @@
       read();
     return;
   }
-  // A response without a length is complete only after an orderly close.
   if (Error == boost::asio::error::eof && Reader_ && Reader_->endsWithClose()) {
-    handleResponse();
+    IsEndReceived_ = true;
+    // If the write has met an error, its handler may run after this one.
+    // Nothing more is sent, so closing the socket makes it run at once.
+    error_code Ignored;
+    if (IsWriting_)
+      Socket_.close(Ignored);
+    else
+      handleEnd();
     return;
   }
   completeAttempt(Reader_ ? AttemptStatus::Truncated : AttemptStatus::Broken);
 }
 
+void ServerConnection::handleEnd() {
+  // A response without a length is complete only after an orderly close. The
+  // kernel reports a reset once, to the write or to the read; after the write
+  // has met it, the read sees the same end as after an orderly close.
+  if (IsLostInWrite_)
+    completeAttempt(AttemptStatus::Truncated);
+  else
+    handleResponse();
+}
+
 bool ServerConnection::parse() {
   while (ReadBuffer_.size() > 0 && OnComplete_) {
     if (!Reader_)
--- a/src/net/server_connection_base.h
+++ b/src/net/server_connection_base.h
@@ -50,8 +50,10 @@
   /// Closes the connection of a request that is given up. After an orderly
   /// close, the kernel would deliver the request even seconds later.
   void reset();
+  void onWriteComplete(const boost::system::error_code &Error);
   void read();
   void onReadComplete(const boost::system::error_code &Error);
+  void handleEnd();
   bool parse();
   bool enforceLimits();
   void handleResponse();
@@ -73,8 +75,10 @@
   bool IsConnected_ = false;            ///< Connect has succeeded.
   bool HasCarriedRequest_ = false;      ///< A request completed before.
   bool IsWriting_ = false;              ///< A write is pending.
-  bool IsReusable_ = false;             ///< See isReusable().
-  bool IsClosed_ = false;               ///< Socket is closed.
+  bool IsLostInWrite_ = false; ///< The write found the connection lost.
+  bool IsEndReceived_ = false; ///< The server has closed its direction.
+  bool IsReusable_ = false;    ///< See isReusable().
+  bool IsClosed_ = false;      ///< Socket is closed.
 };
 
 using ServerConnectionPtr = std::shared_ptr<ServerConnection>;
--- a/standin/route_client.cpp
+++ b/standin/route_client.cpp
@@ -56,6 +56,7 @@
                 std::to_string(toMilliseconds(Call.Deadline_)));
   for (const auto &[Name, Value] : Call.Fields_)
     Message.insert(Name, Value);
+  Message.body() = Call.Body_;
   std::string Bytes = serializeRequest(Message);
   return await(Limit, [&](auto Done) {
     boost::asio::async_write(*Socket_, boost::asio::buffer(Bytes), Done);
--- a/standin/route_client_base.h
+++ b/standin/route_client_base.h
@@ -24,6 +24,7 @@
   Duration Deadline_{0}; ///< Relative deadline; omitted if zero.
   /// Further header fields, by name; a name may occur several times.
   std::vector<std::pair<std::string, std::string>> Fields_;
+  std::string Body_; ///< Request body, sent with its length.
 };
 
 /// Result of a client request.
--- a/test/process/faulty_server_test.cpp
+++ b/test/process/faulty_server_test.cpp
@@ -248,3 +248,47 @@
       }));
     }
 }
+
+// Guards against the part of a body that arrived before a reset being passed on
+// as the whole.
+TEST_CASE("report: a response that is reset during its upload never reaches a "
+          "client as a success") {
+  Fixture F;
+  std::atomic<unsigned> Resets = 0;
+  std::atomic<unsigned> Replies = 0;
+  RawServer Faulty([&](const std::string &AttemptId) {
+    // Whole responses in between, as a server that fails only gets few
+    // requests.
+    if (++Replies % 2 == 0)
+      return RawReply{makeHead(AttemptId) + "Content-Length: 5\r\n\r\nwhole",
+                      "", RawEnd::Shutdown};
+    constexpr unsigned StepUs = 37;
+    constexpr unsigned MaxPauseUs = 2000;
+    return RawReply{makeHead(AttemptId) + "\r\npart", "", RawEnd::Reset,
+                    std::chrono::microseconds(++Resets * StepUs % MaxPauseUs)};
+  });
+  F.replaceSecondService(Faulty);
+  F.startAll();
+  constexpr size_t UploadBytes = 1000000;
+  const std::string Upload(UploadBytes, 'u');
+  RouteClient Client(F.getAddress());
+  unsigned Number = 0;
+  constexpr unsigned MinResets = 100;
+  CHECK(F.waitUntil([&] {
+    for (const char *Target : {"/two/x", "/once/x"}) {
+      ++Number;
+      CAPTURE(Target, Number);
+      ClientReply Reply = Client.call({"POST",
+                                       Target,
+                                       "reset" + std::to_string(Number),
+                                       "7",
+                                       seconds(1),
+                                       {},
+                                       Upload},
+                                      seconds(5));
+      bool IsWhole = Reply.Status_ == 200 && Reply.Body_ == "whole";
+      REQUIRE((IsWhole || Reply.Status_ == 502 || Reply.Status_ == 503));
+    }
+    return Resets >= MinResets;
+  }));
+}
--- a/test/support/raw_server_base.h
+++ b/test/support/raw_server_base.h
@@ -2,11 +2,13 @@
 #ifndef CRANBERRY_TEST_SUPPORT_RAW_SERVER_BASE_H
 #define CRANBERRY_TEST_SUPPORT_RAW_SERVER_BASE_H
 
+#include "core/time_type.h"
 #include "platform/wire_names.h"
 #include "standin/loop_thread_base.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <atomic>
@@ -17,11 +19,21 @@
 
 namespace cranberry::test {
 
+/// How a RawServer ends a connection.
+enum class RawEnd : uint8_t {
+  Close,         ///< Closes it; a reset if there are unread bytes.
+  Reset,         ///< Resets it.
+  Shutdown,      ///< Ends its own direction and reads the rest of the request.
+  ShutdownReset, ///< Ends its own direction and then resets the connection.
+};
+
 /// Bytes that a RawServer sends in response to a request.
 struct RawReply {
   std::string Begin_;    ///< Sent once.
   std::string Repeated_; ///< Sent until the connection is closed. If empty, the
-                         ///< server closes it.
+                         ///< server ends it.
+  RawEnd End_ = RawEnd::Close; ///< How it ends the connection.
+  Duration Pause_{0};          ///< Time between the last byte and the end.
 };
 
 /// Responds to the first request on each connection with raw bytes.
@@ -50,8 +62,9 @@
 private:
   struct Session {
     explicit Session(boost::asio::ip::tcp::socket Socket)
-        : Socket_(std::move(Socket)) {}
+        : Socket_(std::move(Socket)), Timer_(Socket_.get_executor()) {}
     boost::asio::ip::tcp::socket Socket_; ///< Connection to the entry VM.
+    boost::asio::steady_timer Timer_;     ///< Ends a pause.
     std::string Input_;                   ///< Bytes of the request.
     RawReply Reply_;                      ///< Bytes of the response.
   };
@@ -99,8 +112,46 @@
     boost::asio::async_write(
         Current->Socket_, boost::asio::buffer(Text),
         [this, Current](boost::system::error_code Error, size_t) {
-          if (!Error && !Current->Reply_.Repeated_.empty())
+          if (Error)
+            return;
+          if (!Current->Reply_.Repeated_.empty())
             write(Current, Current->Reply_.Repeated_);
+          else if (Current->Reply_.Pause_ > Duration(0))
+            pause(Current);
+          else
+            end(Current);
+        });
+  }
+
+  void pause(const SessionPtr &Current) {
+    Current->Timer_.expires_after(Current->Reply_.Pause_);
+    Current->Timer_.async_wait(
+        [this, Current](boost::system::error_code) { end(Current); });
+  }
+
+  void end(const SessionPtr &Current) {
+    boost::system::error_code Ignored; // The peer may have closed already.
+    RawEnd End = Current->Reply_.End_;
+    if (End == RawEnd::Shutdown || End == RawEnd::ShutdownReset)
+      Current->Socket_.shutdown(boost::asio::socket_base::shutdown_send,
+                                Ignored);
+    if (End == RawEnd::Reset || End == RawEnd::ShutdownReset)
+      Current->Socket_.set_option(boost::asio::socket_base::linger(true, 0),
+                                  Ignored);
+    if (End == RawEnd::Shutdown)
+      readRest(Current);
+    else
+      Current->Socket_.close(Ignored);
+  }
+
+  void readRest(const SessionPtr &Current) {
+    constexpr size_t ChunkBytes = 65536;
+    Current->Input_.resize(ChunkBytes);
+    Current->Socket_.async_read_some(
+        boost::asio::buffer(Current->Input_),
+        [this, Current](boost::system::error_code Error, size_t) {
+          if (!Error)
+            readRest(Current);
         });
   }
 
