Codechange: [Test] Responses with invalid field names, with real processes

That is handled already: a head whose field lines don't begin with a token is no response (isFieldLine), in trailers and in interim responses as well. Until now only unit tests showed it, for one such name.

The new tests send 19 such heads, two trailers and an interim response, of safe and unsafe requests, with whole responses in between.

--- a/test/process/faulty_server_test.cpp
+++ b/test/process/faulty_server_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <functional>
 #include <thread>
 
 using namespace cranberry;
@@ -80,6 +81,44 @@
   std::vector<std::thread> Threads_;     ///< One for each client.
 };
 
+/// Checks that no response of a faulty server reaches a client, of safe and of
+/// unsafe requests. Whole responses come in between, as a server that fails
+/// only gets few requests.
+/// \param Call Request; the target and the attempt id are set here.
+/// \param Count Number of faulty responses.
+/// \param MakeFault Makes one, by the attempt id and its number.
+void checkNeverDelivered(
+    ClientCall Call, unsigned Count,
+    const std::function<RawReply(const std::string &, unsigned)> &MakeFault) {
+  Fixture F;
+  std::atomic<unsigned> Replies = 0;
+  RawServer Faulty([&](const std::string &AttemptId) {
+    unsigned Number = Replies++;
+    if (Number % 2 == 0)
+      return MakeFault(AttemptId, Number / 2);
+    return RawReply{makeHead(AttemptId) + "Content-Length: 5\r\n\r\nwhole", "",
+                    RawEnd::Shutdown};
+  });
+  F.replaceSecondService(Faulty);
+  F.startAll();
+  RouteClient Client(F.getAddress());
+  unsigned Number = 0;
+  unsigned Served = 0;
+  CHECK(F.waitUntil([&] {
+    for (const char *Target : {"/two/x", "/once/x"}) {
+      Call.Target_ = Target;
+      Call.Id_ = "faulty" + std::to_string(++Number);
+      CAPTURE(Target, Replies.load());
+      ClientReply Reply = Client.call(Call, seconds(5));
+      bool IsWhole = Reply.Status_ == 200 && Reply.Body_ == "whole";
+      REQUIRE((IsWhole || Reply.Status_ == 502 || Reply.Status_ == 503));
+      Served += IsWhole ? 1 : 0;
+    }
+    return Replies >= 2 * Count;
+  }));
+  CHECK(Served > 0);
+}
+
 } // namespace
 
 // Guards against a VM that runs out of memory because it keeps all bytes of a
@@ -253,42 +292,71 @@
 // as the whole.
 TEST_CASE("report: a response that is reset during its upload never reaches a "
           "client as a success") {
-  Fixture F;
-  std::atomic<unsigned> Resets = 0;
-  std::atomic<unsigned> Replies = 0;
-  RawServer Faulty([&](const std::string &AttemptId) {
-    // Whole responses in between, as a server that fails only gets few
-    // requests.
-    if (++Replies % 2 == 0)
-      return RawReply{makeHead(AttemptId) + "Content-Length: 5\r\n\r\nwhole",
-                      "", RawEnd::Shutdown};
-    constexpr unsigned StepUs = 37;
-    constexpr unsigned MaxPauseUs = 2000;
-    return RawReply{makeHead(AttemptId) + "\r\npart", "", RawEnd::Reset,
-                    std::chrono::microseconds(++Resets * StepUs % MaxPauseUs)};
-  });
-  F.replaceSecondService(Faulty);
-  F.startAll();
   constexpr size_t UploadBytes = 1000000;
-  const std::string Upload(UploadBytes, 'u');
-  RouteClient Client(F.getAddress());
-  unsigned Number = 0;
-  constexpr unsigned MinResets = 100;
-  CHECK(F.waitUntil([&] {
-    for (const char *Target : {"/two/x", "/once/x"}) {
-      ++Number;
-      CAPTURE(Target, Number);
-      ClientReply Reply = Client.call({"POST",
-                                       Target,
-                                       "reset" + std::to_string(Number),
-                                       "7",
-                                       seconds(1),
-                                       {},
-                                       Upload},
-                                      seconds(5));
-      bool IsWhole = Reply.Status_ == 200 && Reply.Body_ == "whole";
-      REQUIRE((IsWhole || Reply.Status_ == 502 || Reply.Status_ == 503));
-    }
-    return Resets >= MinResets;
-  }));
+  constexpr unsigned Resets = 100;
+  checkNeverDelivered(
+      {"POST", "", "", "7", seconds(1), {}, std::string(UploadBytes, 'u')},
+      Resets, [](const std::string &AttemptId, unsigned Number) {
+        constexpr unsigned StepUs = 37;
+        constexpr unsigned MaxPauseUs = 2000;
+        return RawReply{
+            makeHead(AttemptId) + "\r\npart", "", RawEnd::Reset,
+            std::chrono::microseconds(Number * StepUs % MaxPauseUs)};
+      });
+}
+
+// Guards against a field that others read differently, and against a body whose
+// length such a field states.
+TEST_CASE("report: a response with an invalid field name never reaches a "
+          "client") {
+  const std::string Length = "Content-Length: 4\r\n";
+  const std::string Heads[] = {
+      "X Y: 1\r\n" + Length,
+      "X\tY: 1\r\n" + Length,
+      "X : 1\r\n" + Length,
+      " X: 1\r\n" + Length,
+      Length + "\tX: 1\r\n",
+      "X\x01Y: 1\r\n" + Length,
+      "X\x7f: 1\r\n" + Length,
+      "X\x0b: 1\r\n" + Length,
+      "X\ry: 1\r\n" + Length,
+      std::string("X\0: 1\r\n", 8) + Length,
+      ": 1\r\n" + Length,
+      "X\r\n" + Length,
+      "Content-Length : 2\r\n" + Length,
+      "Content-Length\x01: 2\r\n" + Length,
+      "Content Length: 2\r\n" + Length,
+      "Content-Length : 4\r\n",
+      "Transfer-Encoding : chunked\r\n" + Length,
+      "Transfer-Encoding\x0c: chunked\r\n" + Length,
+      "Transfer-Encoding: chunked\r\nX Y: 1\r\n",
+  };
+  constexpr unsigned Rounds = 4;
+  checkNeverDelivered(
+      {"GET", "", "", "7", seconds(1), {}, ""}, Rounds * std::size(Heads),
+      [&](const std::string &AttemptId, unsigned Number) {
+        return RawReply{makeHead(AttemptId) + Heads[Number % std::size(Heads)] +
+                            "\r\npart",
+                        ""};
+      });
+}
+
+// Guards against a name in a trailer or in an interim response.
+TEST_CASE("report: a response with an invalid field name beside its head never "
+          "reaches a client") {
+  const std::string Chunks =
+      "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n";
+  auto MakeFault = [&](const std::string &AttemptId, unsigned Number) {
+    const std::string Head = makeHead(AttemptId);
+    const std::string Replies[] = {
+        Head + Chunks + "X Y: 1\r\n\r\n",
+        Head + Chunks + "X\x01: 1\r\n\r\n",
+        "HTTP/1.1 103 Early\r\nX Y: 1\r\n\r\n" + Head +
+            "Content-Length: 4\r\n\r\npart",
+    };
+    return RawReply{Replies[Number % std::size(Replies)], ""};
+  };
+  constexpr unsigned Faults = 12;
+  checkNeverDelivered({"GET", "", "", "7", seconds(1), {}, ""}, Faults,
+                      MakeFault);
 }
