Fix: [Store] A list goes on after a page that can't be read

Servers behind it are missing or all VMs that start list that page for ever.

Cause: a list went on after the last object that could be read. With none on the page it ended there, as if complete; a name that isn't UTF-8 was changed on the way (to "i-x?"), so that the store sent the same page again.

Fix: decodePage() takes the name of the last entry from its bytes, apart from whether the entry can be read, and the next page is asked for after that name. A page without such a name, or with the one before, is a failed read: the follower keeps what it knows, and discovery stops there.

--- a/src/platform/decode.cpp
+++ b/src/platform/decode.cpp
@@ -72,6 +72,23 @@
   return decodeObject(Object, Skipped);
 }
 
+/// \return Name of an entry of a list by the bytes of the store, if it can be
+/// told.
+std::optional<std::string> findName(const ListEntry &Item) {
+  if (Item.Value_.is_discarded()) {
+    std::string_view Metadata =
+        findFieldText(Item.Text_, "metadata", "specification");
+    return readStringBytes(findFieldText(Metadata, "name", "finalizers"));
+  }
+  Reason Skipped;
+  FieldReader Fields(Item.Value_, Skipped);
+  if (!Fields.has("metadata"))
+    return std::nullopt;
+  FieldReader Meta(Item.Value_["metadata"], Skipped);
+  std::string Name = Meta.getString("name");
+  return Meta.isValid() ? std::optional(std::move(Name)) : std::nullopt;
+}
+
 std::optional<RouteConfig> decodeRoute(const json &Value, Reason &Why) {
   FieldReader Fields(Value, Why);
   RouteConfig Route;
@@ -230,11 +247,15 @@
   }
   FieldReader Fields(List->Envelope_, Why);
   StorePage Result;
-  Result.HasMore_ = Fields.has("hasMore") && Fields.getBool("hasMore");
+  // Nothing can be listed after a page without objects.
+  Result.HasMore_ = Fields.has("hasMore") && Fields.getBool("hasMore") &&
+                    !List->Entries_.empty();
   Result.Revision_ = Fields.getRevision("storeRevision");
   if (!Fields.isValid())
     return std::nullopt;
   for (ListEntry &Item : List->Entries_) {
+    if (std::optional<std::string> Name = findName(Item))
+      Result.LastName_ = std::move(*Name);
     Reason Skipped; // Invalid items are skipped.
     bool IsReadable = !Item.Value_.is_discarded();
     std::optional<StoreObject> Object = IsReadable
--- a/src/platform/json_text.cpp
+++ b/src/platform/json_text.cpp
@@ -2,6 +2,7 @@
 #include "platform/json_text_func.h"
 
 #include <algorithm>
+#include <charconv>
 #include <map>
 
 using nlohmann::json;
@@ -110,6 +111,77 @@
   return Result;
 }
 
+/// Size of an escape such as "\u00e9".
+constexpr size_t UnitEscapeSize = 6;
+
+/// \return The UTF-16 unit of an escape at the beginning of \p Text, if any.
+std::optional<unsigned> readEscapedUnit(std::string_view Text) {
+  constexpr int Hexadecimal = 16;
+  constexpr size_t DigitsAt = 2;
+  if (!Text.starts_with("\\u") || Text.size() < UnitEscapeSize)
+    return std::nullopt;
+  unsigned Unit = 0;
+  const char *Last = Text.data() + UnitEscapeSize;
+  auto [End, Error] =
+      std::from_chars(Text.data() + DigitsAt, Last, Unit, Hexadecimal);
+  return Error == std::errc() && End == Last ? std::optional(Unit)
+                                             : std::nullopt;
+}
+
+/// \param[in,out] Rest Text after \p Unit; a low surrogate that completes it is
+/// removed.
+/// \return The code point that begins with \p Unit.
+unsigned takeSurrogatePair(unsigned Unit, std::string_view &Rest) {
+  constexpr unsigned HighFirst = 0xd800;
+  constexpr unsigned LowFirst = 0xdc00;
+  constexpr unsigned LowLast = 0xdfff;
+  constexpr unsigned PairsFirst = 0x10000;
+  constexpr unsigned LowBits = 10;
+  std::optional<unsigned> Low = readEscapedUnit(Rest);
+  if (Unit < HighFirst || Unit >= LowFirst || !Low || *Low < LowFirst ||
+      *Low > LowLast)
+    return Unit;
+  Rest.remove_prefix(UnitEscapeSize);
+  return PairsFirst + ((Unit - HighFirst) << LowBits) + (*Low - LowFirst);
+}
+
+/// Appends a code point as UTF-8 has it, surrogates included.
+void appendCodePoint(std::string &Out, unsigned Point) {
+  constexpr unsigned TwoBytes = 0x80;
+  constexpr unsigned ThreeBytes = 0x800;
+  constexpr unsigned FourBytes = 0x10000;
+  constexpr unsigned BitsPerByte = 6;
+  constexpr unsigned Continuation = 0x80;
+  constexpr unsigned Mask = 0x3f;
+  unsigned Count = Point < TwoBytes     ? 0
+                   : Point < ThreeBytes ? 1
+                   : Point < FourBytes  ? 2
+                                        : 3;
+  constexpr unsigned Leads[] = {0, 0xc0, 0xe0, 0xf0};
+  Out += static_cast<char>(Leads[Count] | Point >> (Count * BitsPerByte));
+  for (; Count > 0; --Count)
+    Out += static_cast<char>(Continuation |
+                             (Point >> ((Count - 1) * BitsPerByte) & Mask));
+}
+
+/// \return The character of an escape; others stand for themselves.
+char decodeEscape(char C) {
+  switch (C) {
+  case 'b':
+    return '\b';
+  case 'f':
+    return '\f';
+  case 'n':
+    return '\n';
+  case 'r':
+    return '\r';
+  case 't':
+    return '\t';
+  default:
+    return C;
+  }
+}
+
 /// Reads the entries of one list.
 class EntryListReader {
 public:
@@ -305,9 +377,8 @@
   return parse(Text);
 }
 
-json findField(std::string_view Text, std::string_view Name,
-               std::string_view OtherName) {
-  json Unknown(json::value_t::discarded);
+std::string_view findFieldText(std::string_view Text, std::string_view Name,
+                               std::string_view OtherName) {
   auto Quote = [](std::string_view Plain) {
     return '"' + std::string(Plain) + '"';
   };
@@ -318,13 +389,39 @@
   if (At > Text.find(Quote(OtherName)))
     At = Text.rfind(Quoted);
   if (At == None)
-    return Unknown;
+    return {};
   At = skipSpace(Text, At + Quoted.size());
   if (At >= Text.size() || Text[At] != ':')
-    return Unknown;
+    return {};
   At = skipSpace(Text, At + 1);
   size_t End = findValueEnd(Text, At, MaxJsonDepth).At_;
-  return End == None ? Unknown : parse(Text.substr(At, End - At));
+  return End == None ? std::string_view() : Text.substr(At, End - At);
+}
+
+json findField(std::string_view Text, std::string_view Name,
+               std::string_view OtherName) {
+  return parse(findFieldText(Text, Name, OtherName));
+}
+
+std::optional<std::string> readStringBytes(std::string_view Text) {
+  size_t End = Text.starts_with('"') ? skipString(Text, 0) : None;
+  if (End == None)
+    return std::nullopt;
+  Text = Text.substr(1, End - 2);
+  std::string Result;
+  while (!Text.empty()) {
+    if (std::optional<unsigned> Unit = readEscapedUnit(Text)) {
+      Text.remove_prefix(UnitEscapeSize);
+      appendCodePoint(Result, takeSurrogatePair(*Unit, Text));
+    } else if (Text.front() == '\\' && Text.size() > 1) {
+      Result += decodeEscape(Text[1]);
+      Text.remove_prefix(2);
+    } else {
+      Result += Text.front();
+      Text.remove_prefix(1);
+    }
+  }
+  return Result;
 }
 
 } // namespace cranberry::platform
--- a/src/platform/json_text_func.h
+++ b/src/platform/json_text_func.h
@@ -44,13 +44,24 @@
 /// MaxJsonDepth.
 nlohmann::json parseForeignJson(std::string_view Text);
 
-/// Reads a field of an object that can't be read as a whole.
+/// Finds a field of an object that can't be read as a whole.
 /// \param Name Name of a field that the object's writer doesn't fill.
 /// \param OtherName Name of the field with the content of its writer.
+/// \return Bytes of the value; empty if it can't be told.
+std::string_view findFieldText(std::string_view Text, std::string_view Name,
+                               std::string_view OtherName);
+
+/// As findFieldText().
 /// \return The value; discarded if it can't be told.
 nlohmann::json findField(std::string_view Text, std::string_view Name,
                          std::string_view OtherName);
 
+/// Reads a string that may not be valid JSON. Bytes that aren't UTF-8 are kept,
+/// and an unpaired surrogate becomes the three bytes of its code point.
+/// \param Text Begins with the opening quote.
+/// \return The bytes of the string, or nothing if it has no end.
+std::optional<std::string> readStringBytes(std::string_view Text);
+
 } // namespace cranberry::platform
 
 #endif
--- a/src/platform/store_type.h
+++ b/src/platform/store_type.h
@@ -33,8 +33,18 @@
   /// Names of the objects whose bytes can't be read; empty if unknown. Those
   /// with a name are in Objects_, without a body.
   std::vector<std::string> Unreadable_;
+  /// Name of the last object by the bytes of the store, whether the object can
+  /// be read or not; the next page begins after it. Empty if unknown.
+  std::string LastName_;
 };
 
+/// \param After Name after which \p Page was listed; empty for the first page.
+/// \return Whether the next page can be listed. A list that doesn't advance
+/// would have no end.
+inline bool canListAfter(const StorePage &Page, const std::string &After) {
+  return Page.HasMore_ && !Page.LastName_.empty() && Page.LastName_ != After;
+}
+
 /// A change of one object.
 struct StoreChange {
   StoreObject Object_;     ///< Object after the change, or before removal.
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -60,7 +60,7 @@
 
 void StoreFollower::pause() {
   ++Generation_;
-  ListedObjects_.clear();
+  dropPartialList();
   Timer_.cancel();
 }
 
@@ -95,14 +95,18 @@
 }
 
 void StoreFollower::requestList() {
-  std::string After = ListedObjects_.empty() ? "" : ListedObjects_.back().Name_;
-  selectClient().list(Options_.Kind_, After,
+  selectClient().list(Options_.Kind_, ListedUpto_,
                       makeResponseHandler(&StoreFollower::handlePage));
 }
 
+void StoreFollower::dropPartialList() {
+  ListedObjects_.clear();
+  ListedUpto_.clear();
+}
+
 void StoreFollower::handlePage(const StoreResponse &Reply) {
   if (Reply.Status_ != StoreStatus::Ok) {
-    ListedObjects_.clear();
+    dropPartialList();
     handleFailure(Reply.Status_, Reply.ErrorText_);
     return;
   }
@@ -110,17 +114,17 @@
   std::optional<platform::StorePage> Page =
       platform::decodePage(Reply.Body_, Why);
   if (!Page) {
-    ListedObjects_.clear();
+    dropPartialList();
     handleFailure(StoreStatus::Malformed, Why.Field_ + " " + Why.Message_);
     return;
   }
   logUnreadable(Page->Unreadable_);
   StoreEra Era = Reply.Era_.value_or(Era_);
-  bool IsFirst = ListedObjects_.empty();
+  bool IsFirst = ListedUpto_.empty();
   bool IsOlder = Era < Era_ ||
                  (IsCallToRelay_ && Era == Era_ && Page->Revision_ < Revision_);
   if (IsOlder || (!IsFirst && Era != ListEra_)) {
-    ListedObjects_.clear();
+    dropPartialList();
     handleFailure(StoreStatus::Malformed,
                   IsOlder ? "list is older than the known revision"
                           : "store was restored while it was listed");
@@ -133,7 +137,13 @@
   ListedObjects_.insert(ListedObjects_.end(), Page->Objects_.begin(),
                         Page->Objects_.end());
   Revision_ = FirstRevision;
-  if (Page->HasMore_ && !Page->Objects_.empty()) {
+  if (Page->HasMore_) {
+    if (!canListAfter(*Page, ListedUpto_)) {
+      dropPartialList();
+      handleFailure(StoreStatus::Malformed, "list doesn't advance");
+      return;
+    }
+    ListedUpto_ = std::move(Page->LastName_);
     requestList();
     return;
   }
@@ -142,6 +152,7 @@
   IsListed_ = true;
   std::vector<platform::StoreObject> Objects;
   Objects.swap(ListedObjects_);
+  dropPartialList();
   Cache_.replaceAll(Objects, Revision_);
   Log_.write(getNow(), "store-list",
              {{"kind", Options_.Kind_},
--- a/src/steering/store_follower_base.h
+++ b/src/steering/store_follower_base.h
@@ -110,6 +110,7 @@
 private:
   void requestList();
   void retryList();
+  void dropPartialList();
   void handlePage(const platform::StoreResponse &Reply);
   void requestWatch();
   platform::StoreClient &selectClient();
@@ -132,6 +133,7 @@
   boost::asio::steady_timer Timer_; ///< Timer of the next call.
   std::vector<platform::StoreObject>
       ListedObjects_;              ///< Objects of a partial list.
+  std::string ListedUpto_;         ///< Last name of a partial list.
   platform::StoreEra Era_ = 0;     ///< Era of the last list.
   platform::StoreEra ListEra_ = 0; ///< Era of ListedObjects_.
   Revision Revision_ = 0;          ///< Revision up to which changes are known.
--- a/src/steering/vm_discovery.cpp
+++ b/src/steering/vm_discovery.cpp
@@ -36,11 +36,14 @@
   // the others themselves.
   Store_.list(
       platform::kind::EntryVms, After,
-      [this](const platform::StoreResponse &Reply) { handlePage(Reply); },
+      [this, After](const platform::StoreResponse &Reply) {
+        handlePage(Reply, After);
+      },
       IsFirst_ ? platform::ReadMode::Latest : platform::ReadMode::MayBeStale);
 }
 
-void VmDiscovery::handlePage(const platform::StoreResponse &Reply) {
+void VmDiscovery::handlePage(const platform::StoreResponse &Reply,
+                             const std::string &After) {
   Reason Why;
   std::optional<platform::StorePage> Page;
   if (Reply.Status_ == platform::StoreStatus::Ok)
@@ -65,8 +68,8 @@
       Peers_.push_back(std::move(Address));
   }
   IsFirst_ = false;
-  if (Page->HasMore_ && !Page->Objects_.empty())
-    requestPage(Page->Objects_.back().Name_);
+  if (platform::canListAfter(*Page, After))
+    requestPage(Page->LastName_);
   else
     finish();
 }
--- a/src/steering/vm_discovery_base.h
+++ b/src/steering/vm_discovery_base.h
@@ -38,7 +38,8 @@
 
 private:
   void requestPage(const std::string &After);
-  void handlePage(const platform::StoreResponse &Reply);
+  void handlePage(const platform::StoreResponse &Reply,
+                  const std::string &After);
   void finish();
   Duration getInterval();
 
--- a/test/unit/entry_list_test.cpp
+++ b/test/unit/entry_list_test.cpp
@@ -210,6 +210,48 @@
   }
 }
 
+// Guards against a list that ends, or begins again, at an entry whose name
+// isn't JSON or that has no revision.
+TEST_CASE("entry list: a page names its last entry by the bytes of the store") {
+  struct Case {
+    const char *Name_;  ///< As in the text of the page.
+    std::string Bytes_; ///< As the store knows it.
+  };
+  const Case Cases[] = {
+      {"i-x\xff", "i-x\xff"},
+      {"\xc3(\x80", "\xc3(\x80"},
+      {"i-\x01", "i-\x01"},
+      {R"(i-\ud800)", "i-\xed\xa0\x80"},
+      {R"(i-\udc00x)", "i-\xed\xb0\x80x"},
+      {R"(i-\ud83d\ude00)", "i-\xf0\x9f\x98\x80"},
+      {R"(i-\ud83d\u0041)", "i-\xed\xa0\xbd"
+                            "A"},
+      {R"(i-\u00e9\u20ac\t\"\\\/)", "i-\u00e9\u20ac\t\"\\/"},
+      {R"(i-\q)", "i-q"},
+      {"i-x", "i-x"},
+  };
+  for (const Case &Each : Cases)
+    for (const char *Rest :
+         {R"(","revision":3},"specification":{}})",
+          R"(","revision":3},"specification":{"name":"forged","a":x}})",
+          R"(","revision":null},"specification":{}})", R"("},"status":7})",
+          R"(","finalizers":["name","x"]},"specification":{}})"}) {
+      CAPTURE(Each.Name_, Rest);
+      for (const std::string &Before : {std::string(), makeItem("i-1", "{}")}) {
+        std::vector<std::string> Items{std::string(R"({"metadata":{"name":")") +
+                                       Each.Name_ + Rest};
+        if (!Before.empty())
+          Items.insert(Items.begin(), Before);
+        Reason Why;
+        std::optional<platform::StorePage> Page =
+            platform::decodePage(makePage(Items), Why);
+        REQUIRE(Page);
+        CHECK(Page->HasMore_);
+        CHECK(Page->LastName_ == Each.Bytes_);
+      }
+    }
+}
+
 // Guards against a withdrawn key that stays in force beside such an entry.
 TEST_CASE("entry list: a configuration beside an unreadable entry is read") {
   const std::string Main =
--- a/test/unit/store_follower_test.cpp
+++ b/test/unit/store_follower_test.cpp
@@ -1,4 +1,7 @@
 /// \file store_follower_test.cpp Store follower and store client.
+#include "net/http_message_func.h"
+#include "net/http_target_func.h"
+#include "net/ingress_server_base.h"
 #include "platform/store_client_base.h"
 #include "standin/object_store_base.h"
 #include "steering/store_follower_base.h"
@@ -78,6 +81,66 @@
           "..",      ".",      "i-a ",     "&watch=1"};
 }
 
+std::string makeObjectText(const std::string &Name) {
+  return R"({"metadata":{"name":")" + Name +
+         R"(","revision":1},"specification":{}})";
+}
+
+/// A store with one object on each page of a list, in the store's bytes. A page
+/// after an unknown name is the last one that was sent.
+class RawStore {
+public:
+  RawStore(boost::asio::io_context &Loop, std::vector<std::string> Objects)
+      : Objects_(std::move(Objects)),
+        Server_(Loop, [this](const IngressExchangePtr &Exchange) {
+          sendPage(Exchange);
+        }) {
+    Reason Why;
+    REQUIRE(Server_.open("127.0.0.1:0", Why));
+  }
+
+  const std::string &getAddress() const { return Server_.getAddress(); }
+
+private:
+  void sendPage(const IngressExchangePtr &Exchange) {
+    std::string Target(Exchange->getMessage().target());
+    std::map<std::string, std::string> Query = parseQuery(
+        Target.substr(std::min(Target.find("?") + 1, Target.size())));
+    if (Query.contains("watch")) {
+      Watch_ = Exchange;
+      return;
+    }
+    for (size_t I = 0; I + 1 < Objects_.size(); ++I)
+      if (Query["after"] == getName(Objects_[I]))
+        Page_ = I + 1;
+    if (Query["after"].empty())
+      Page_ = 0;
+    Exchange->respond(makeResponse(
+        200, R"({"items":[)" + Objects_[Page_] + R"(],"hasMore":)" +
+                 (Page_ + 1 < Objects_.size() ? "true" : "false") +
+                 R"(,"storeRevision":9})"));
+  }
+
+  /// \return Name of an object as the store knows it.
+  static std::string getName(const std::string &Object) {
+    std::string Begin = R"("name":")";
+    size_t At = Object.find(Begin);
+    if (At == std::string::npos)
+      return "";
+    At += Begin.size();
+    std::string Name = Object.substr(At, Object.find('"', At) - At);
+    std::string Escape = R"(\ud800)";
+    if (size_t Found = Name.find(Escape); Found != std::string::npos)
+      Name.replace(Found, Escape.size(), "\xed\xa0\x80");
+    return Name;
+  }
+
+  std::vector<std::string> Objects_; ///< Objects in the order of their names.
+  size_t Page_ = 0;                  ///< Number of the last page.
+  IngressExchangePtr Watch_;         ///< Watch that gets no response.
+  IngressServer Server_;             ///< Receives calls.
+};
+
 } // namespace
 
 TEST_CASE("follower: lists in pages, then receives each change") {
@@ -152,6 +215,46 @@
   }
 }
 
+// Guards against an entry that can't be read and stands alone on a page, so
+// that the list ends there or lists that page for ever.
+TEST_CASE("follower: a list goes on after a page that can't be read") {
+  const std::string OddObjects[] = {
+      "{\"metadata\":{\"name\":\"i-x\xff\",\"revision\":3}}",
+      "{\"metadata\":{\"name\":\"i-x\xff\",\"revision\":3},\"specification\":"
+      "\\}",
+      R"({"metadata":{"name":"i-x\ud800","revision":3}})",
+      R"({"metadata":{"name":"i-x"}})",
+      R"({"metadata":{"name":"i-x","revision":"3"},"specification":{}})",
+  };
+  for (const std::string &Odd : OddObjects) {
+    CAPTURE(Odd);
+    Fixture F;
+    RawStore Store(F.Loop_, {makeObjectText("a"), Odd, makeObjectText("z")});
+    platform::StoreClient Client(F.Loop_, Store.getAddress(),
+                                 platform::DirectStoreTimeouts);
+    StoreFollower Follower(F.Loop_, Client, {"things", Duration(0), seconds(5)},
+                           F.makeHandlers(), F.Log_);
+    Follower.start();
+    REQUIRE(F.runUntil([&] { return F.ListCount_ > 0; }, seconds(5)));
+    CHECK(F.Known_.contains("a"));
+    CHECK(F.Known_.contains("z"));
+    CHECK(F.UnavailableCount_ == 0);
+  }
+}
+
+TEST_CASE("follower: a list that doesn't advance is given up") {
+  Fixture F;
+  RawStore Store(F.Loop_, {makeObjectText("a"), R"({"metadata":{}})",
+                           makeObjectText("z")});
+  platform::StoreClient Client(F.Loop_, Store.getAddress(),
+                               platform::DirectStoreTimeouts);
+  StoreFollower Follower(F.Loop_, Client, {"things", Duration(0), seconds(5)},
+                         F.makeHandlers(), F.Log_);
+  Follower.start();
+  CHECK(F.runUntil([&] { return F.UnavailableCount_ > 0; }, seconds(5)));
+  CHECK(F.ListCount_ == 0);
+}
+
 TEST_CASE(
     "store client: conditional writes and lost responses have their status") {
   Fixture F;
--- a/test/unit/store_source_test.cpp
+++ b/test/unit/store_source_test.cpp
@@ -394,6 +394,30 @@
   CHECK(Lists <= Before);
 }
 
+// Guards against a VM that never hears of those behind an odd name.
+TEST_CASE("discovery: a list goes on after any name") {
+  for (const char *Odd : {"vm-a&b", "vm-a+b", "vm-a#b", "vm-a%41", "vm-a b"}) {
+    CAPTURE(Odd);
+    boost::asio::io_context Loop;
+    ObjectStore Store;
+    platform::StoreClient Client(Loop, Store.getAddress(),
+                                 platform::DirectStoreTimeouts);
+    EventLog Log(-1, "vm");
+    std::vector<std::string> Found;
+    VmDiscovery Discovery(
+        Loop, Client, Log, "10.0.0.9:7200", Seed,
+        [&](const std::vector<std::string> &Peers) { Found = Peers; });
+    Store.setPageSize(1);
+    Store.put("entry-vms", Odd, {{"note", "no VM"}});
+    Store.put("entry-vms", "vm-z", {{"peer", "10.0.0.1:7200"}});
+    Discovery.start();
+    CHECK(runUntil(
+        Loop,
+        [&] { return Found == std::vector<std::string>{"10.0.0.1:7200"}; },
+        seconds(5)));
+  }
+}
+
 TEST_CASE("view: hundreds of changes in one response are applied at once") {
   boost::asio::io_context Loop;
   ObjectStore Store;
