Fix: [Servers] The name of an entry adds nothing to requests

Cause: the name of an entry goes into X-Cranberrypost-Expected-Instance as it is, and nothing checked that a header field can hold it.

Evidence: on the code before, 'report: the name of an entry adds nothing to requests' shows runs at a server under the workspace "forged", with real processes, and 'report: an identifier that no header field can hold names no server' fails.

Fix: an identifier that isn't one field value of 1 to 256 bytes names no server. It is logged as server-refused like other entries that name none. Letters beyond ASCII stay allowed.

--- a/src/platform/decode.cpp
+++ b/src/platform/decode.cpp
@@ -4,6 +4,7 @@
 #include "core/duration_func.h"
 #include "net/http_target_func.h"
 #include "net/ingress_server_base.h"
+#include "net/message_framing_func.h"
 #include "platform/field_reader_base.h"
 #include "platform/json_text_func.h"
 #include "platform/wire_names.h"
@@ -41,6 +42,14 @@
   return Result;
 }
 
+/// Identifiers are sent to servers in a header field.
+bool isInstanceId(const std::string &Text) {
+  constexpr size_t MaxLength = 256;
+  return !Text.empty() && Text.size() <= MaxLength &&
+         !absl::ascii_isspace(Text.front()) &&
+         !absl::ascii_isspace(Text.back()) && isFieldLine("X: " + Text);
+}
+
 bool isObject(const json &Value) {
   if (!Value.is_object() || !Value.contains("metadata"))
     return false;
@@ -206,6 +215,8 @@
   FieldReader Fields(Object.Body_, Why);
   ServerRecord Result;
   Result.InstanceId_ = Object.Name_;
+  if (!isInstanceId(Result.InstanceId_))
+    Fields.reportError("name", "not the value of a header field");
   Result.Service_ = Fields.getString("service");
   Result.Address_ = Fields.getString("address");
   Result.Zone_ = Fields.getString("zone");
--- a/test/process/odd_entry_test.cpp
+++ b/test/process/odd_entry_test.cpp
@@ -1,4 +1,5 @@
 /// \file odd_entry_test.cpp Entries of other writers in the platform's store.
+#include "platform/wire_names.h"
 #include "test/support/steering_fixture_base.h"
 
 #include <catch2/catch.hpp>
@@ -47,3 +48,22 @@
     F.Fleet_.store().remove("servers", Odd);
   }
 }
+
+// Guards against a name that adds fields, or a request, to those sent to
+// servers.
+TEST_CASE("report: the name of an entry adds nothing to requests") {
+  SteeringFixture F({{"north-a"}, {"one"}});
+  FleetServer &Server = F.Fleet_.servers()[0];
+  std::string Field = std::string(platform::header::WorkspaceName) + ": forged";
+  for (const std::string &Odd : {Server.Server_->getId() + "\r\n" + Field,
+                                 Server.Server_->getId() + "\n" + Field}) {
+    json Entry = Server.Server_->getEntry(Server.Service_, Server.Zone_);
+    Entry["address"] = Server.Link_->getAddress();
+    F.Fleet_.store().put("servers", Odd, Entry);
+  }
+  F.startAll();
+  for (int I = 0; I < 60; ++I)
+    CHECK_FALSE(F.getService(0).empty());
+  for (const ServerRun &Run : Server.Server_->getRuns())
+    CHECK(Run.Workspace_.empty());
+}
--- a/test/unit/foreign_input_test.cpp
+++ b/test/unit/foreign_input_test.cpp
@@ -117,6 +117,30 @@
   }
 }
 
+// Guards against an identifier that servers read as more than one field.
+TEST_CASE("report: an identifier that no header field can hold names no "
+          "server") {
+  Reason Why;
+  platform::StoreObject Entry{"i-1", 3, json::parse(makeServer(""))};
+  constexpr size_t MaxLength = 256;
+  for (const std::string &Good :
+       {std::string("i-1"), std::string("i 1"), std::string("i-\u00e9"),
+        std::string("#&+%?/:\""), std::string(MaxLength, 'i')}) {
+    CAPTURE(Good);
+    Entry.Name_ = Good;
+    CHECK(platform::decodeServer(Entry, Why));
+  }
+  for (const std::string &Bad :
+       {std::string(), std::string("i\r\nX: 1"), std::string("i\n1"),
+        std::string("i\r1"), std::string("i\0", 2), std::string("i\x7f"),
+        std::string(" i"), std::string("i\t"),
+        std::string(MaxLength + 1, 'i')}) {
+    CAPTURE(Bad);
+    Entry.Name_ = Bad;
+    CHECK_FALSE(platform::decodeServer(Entry, Why));
+  }
+}
+
 TEST_CASE("values at the limit of nesting and range are kept") {
   Reason Why;
   for (const char *Number : {"0", "-0", "123456789012", "1.5e300", "1e-999"}) {
