Fix: [Store] Calls for one object reach the object of that name

What callers would see: none today. The names of VMs, the only ones that are written, come from the platform and are plain.

Cause: StoreClient put the name of an object into the path as it was, so that "a?b" or "a%41" named another object and "a b" was no request at all.

Evidence: on the code before, 'store client: conditional writes and lost responses have their status' fails for 12 of 24 names.

Fix: the name is encoded as the name after which a list goes on.

Result: unit_tests "store client*,follower*" 7 of 7.

--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -63,6 +63,11 @@
   return Duration(0);
 }
 
+/// \return Path of one object.
+std::string makePath(const std::string &Kind, const std::string &Name) {
+  return absl::StrCat(path::Objects, Kind, "/", encodePercent(Name));
+}
+
 json makeObject(const std::string &Name, const json &Body) {
   return {{"metadata", {{"name", Name}, {"finalizers", json::array()}}},
           {"specification", Body}};
@@ -110,14 +115,14 @@
                           StoreResponseHandler End) {
   json Object = makeObject(Name, Body);
   Object["metadata"]["revision"] = Expected;
-  sendRequest("PUT", absl::StrCat(path::Objects, Kind, "/", Name),
-              Object.dump(), Timeouts_.Call_, std::move(End));
+  sendRequest("PUT", makePath(Kind, Name), Object.dump(), Timeouts_.Call_,
+              std::move(End));
 }
 
 void StoreClient::remove(const std::string &Kind, const std::string &Name,
                          StoreResponseHandler End) {
-  sendRequest("DELETE", absl::StrCat(path::Objects, Kind, "/", Name), "",
-              Timeouts_.Call_, std::move(End));
+  sendRequest("DELETE", makePath(Kind, Name), "", Timeouts_.Call_,
+              std::move(End));
 }
 
 void StoreClient::sendRequest(const char *Method, const std::string &Target,
--- a/test/unit/store_follower_test.cpp
+++ b/test/unit/store_follower_test.cpp
@@ -283,6 +283,18 @@
   CHECK(Call(Replace(2)) == StoreStatus::Ok);
   CHECK(Call(Remove) == StoreStatus::Ok);
   CHECK(Call(Remove) == StoreStatus::NotFound);
+  // A name that changes the request would reach another object or none.
+  for (const std::string &Odd : makeOddNames()) {
+    CAPTURE(Odd);
+    F.Store_.put("things", Odd, 1);
+    CHECK(Call([&](StoreResponseHandler End) {
+            F.Client_.replace("things", Odd, 1, 2, std::move(End));
+          }) == StoreStatus::Conflict);
+    CHECK(Call([&](StoreResponseHandler End) {
+            F.Client_.remove("things", Odd, std::move(End));
+          }) == StoreStatus::Ok);
+    CHECK_FALSE(F.Store_.contains("things", Odd));
+  }
   F.Store_.setMode(StoreMode::LoseWrites);
   CHECK(Call(Create) == StoreStatus::NoResponse);
   CHECK(F.Store_.contains("things", "a"));
