Fix: [Daemon] One odd entry in the list of VMs no longer ends the process

What callers would see: in the project's own interface, which the users' platform doesn't use, each process that reads the list of VMs ends.

Cause: the fields of a listed VM were read as strings without a look at their type. An entry that is no object, or a field of another type, throws, and nothing catches it. The list of changes and the check of a written object read theirs in the same way.

Evidence: on the code before, 'report: odd entries of the platform cost those entries only' fails at the first list: the process has ended. Objects with odd content, in the second half of the test, weren't played on the code before.

Fix: a field of another type counts as missing. A VM without an address and an object without a kind are left out; a list that is no array, or changes without a revision, is a failed read.

Result: the test holds (12 s); its other half shows that odd objects and names leave a process serving.

--- a/src/daemon/platform_client.cpp
+++ b/src/daemon/platform_client.cpp
@@ -30,26 +30,43 @@
   return Value;
 }
 
+/// \return The string field \p Name of \p Value, or an empty string if there is
+/// none.
+std::string getString(const json &Value, const char *Name) {
+  auto Found = Value.is_object() ? Value.find(Name) : Value.end();
+  bool IsString =
+      Value.is_object() && Found != Value.end() && Found->is_string();
+  return IsString ? Found->get<std::string>() : std::string();
+}
+
+/// \return The object, or nothing if the item names none.
+std::optional<Object> parseObject(const json &Item) {
+  std::optional<ObjectKind> Kind = findObjectKind(getString(Item, "kind"));
+  if (!Kind)
+    return std::nullopt;
+  Object Result{{*Kind, getString(Item, "name")}, 0, false, ""};
+  if (auto Found = Item.find("revision");
+      Found != Item.end() && Found->is_number_unsigned())
+    Result.Revision_ = Found->get<Revision>();
+  if (auto Found = Item.find("deleted"); Found != Item.end())
+    Result.IsDeleted_ = *Found == true;
+  if (auto Body = Item.find("body");
+      !Result.IsDeleted_ && Body != Item.end() && Body->is_object())
+    Result.Body_ = Body->value("spec", json::object()).dump();
+  return Result;
+}
+
 std::optional<ObjectChanges> parseChanges(const HttpResult &Result) {
   json Body = json::parse(Result.Body_, nullptr, false);
   if (Result.Code_ != ResultCode::Ok || Result.Status_ != StatusOk ||
       !Body.is_object() || !Body.contains("revision") ||
-      !Body.contains("objects"))
+      !Body["revision"].is_number_unsigned() || !Body.contains("objects"))
     return std::nullopt;
   ObjectChanges Changes;
   Changes.EndRevision_ = Body["revision"];
-  for (const json &Item : Body["objects"]) {
-    std::optional<ObjectKind> Kind = findObjectKind(Item.value("kind", ""));
-    if (!Kind)
-      continue;
-    Object Change{{*Kind, Item.value("name", "")},
-                  Item.value("revision", Revision{0}),
-                  Item.value("deleted", false),
-                  ""};
-    if (!Change.IsDeleted_ && Item.contains("body") && Item["body"].is_object())
-      Change.Body_ = Item["body"].value("spec", json::object()).dump();
-    Changes.Objects_.push_back(std::move(Change));
-  }
+  for (const json &Item : Body["objects"])
+    if (std::optional<Object> Change = parseObject(Item))
+      Changes.Objects_.push_back(std::move(*Change));
   return Changes;
 }
 
@@ -93,13 +110,14 @@
     Metrics_.countPlatformCall("vms", getReadCode(Result));
     json Body = json::parse(Result.Body_, nullptr, false);
     if (getReadCode(Result) != ResultCode::Ok || !Body.is_object() ||
-        !Body.contains("vms"))
+        !Body.contains("vms") || !Body["vms"].is_array())
       return Done(std::nullopt);
     std::vector<ListedVm> Vms;
     for (const json &Item : Body["vms"])
-      Vms.push_back({Item.value("vm", ""), Item.value("address", ""),
-                     Item.value("role", "") == "entry",
-                     Item.value("state", "") == "leaving"});
+      if (std::string Address = getString(Item, "address"); !Address.empty())
+        Vms.push_back({getString(Item, "vm"), std::move(Address),
+                       getString(Item, "role") == "entry",
+                       getString(Item, "state") == "leaving"});
     Done(std::move(Vms));
   });
 }
@@ -177,8 +195,7 @@
     return Op.Callback_(UnknownOutcome);
   json Body = json::parse(Result.Body_, nullptr, false);
   Revision Found = IsThere ? readEtag(Result) : 0;
-  bool IsOurs = IsThere && Body.is_object() &&
-                Body.value("operation", "") == Op.Operation_;
+  bool IsOurs = IsThere && getString(Body, "operation") == Op.Operation_;
   bool IsOurDeletion = IsAbsent && Op.Body_.empty();
   if (IsOurs || IsOurDeletion)
     return Op.Callback_({{}, Found});
--- a/test/process/bad_input_test.cpp
+++ b/test/process/bad_input_test.cpp
@@ -130,3 +130,52 @@
   CHECK(Result.getHeader("x-outcome") == "answered");
   CHECK(Result.Body_.find("\"echo\":\"A\"") != std::string::npos);
 }
+
+// Guards against one entry of another writer that ends the process or keeps it
+// from reading the others.
+TEST_CASE("report: odd entries of the platform cost those entries only") {
+  Cluster World({"r-a"}, 1, {});
+  constexpr Duration Limit = seconds(20);
+  auto GetCalls = [&](const char *Operation) {
+    return World.platform().getCallCounts()[Operation];
+  };
+  auto IsServing = [&] {
+    return World.vm(0).Process_->isRunning() &&
+           World.call(0, "GET", "").getHeader("x-outcome") == "answered";
+  };
+  for (const char *Vms :
+       {R"([7,null,"x",[],{"vm":7,"address":"10.0.0.1:1","role":"entry"},)"
+        R"({"vm":"x","address":7},{"role":[]},{"state":{}}])",
+        "7", R"({"a":1})"}) {
+    CAPTURE(Vms);
+    World.platform().setVms(R"({"vms":)" + std::string(Vms) + "}");
+    // The list of the second call comes after the first has been read.
+    uint64_t Before = GetCalls("vms");
+    CHECK(waitUntil(
+        [&] {
+          return !World.vm(0).Process_->isRunning() ||
+                 GetCalls("vms") >= Before + 2;
+        },
+        Limit));
+    REQUIRE(IsServing());
+  }
+  unsigned Number = 0;
+  for (const char *Body : {"7", "[1]", R"({"spec":7})",
+                           R"({"spec":"x","operation":7})", R"({"spec":[]})"}) {
+    CAPTURE(Body);
+    uint64_t Before = GetCalls("watch");
+    HttpCall Call;
+    Call.Method_ = "PUT";
+    Call.Url_ = "http://" + World.platform().getAddress() +
+                "/v1/objects/region/odd%20" + std::to_string(++Number);
+    Call.Body_ = Body;
+    REQUIRE(callAndWait(std::move(Call)).Status_ == 200);
+    CHECK(waitUntil(
+        [&] {
+          return !World.vm(0).Process_->isRunning() ||
+                 GetCalls("watch") > Before;
+        },
+        Limit));
+    REQUIRE(IsServing());
+  }
+}
