--- a/test/process/bad_input_test.cpp
+++ b/test/process/bad_input_test.cpp
@@ -169,7 +169,8 @@
     Call.Url_ = "http://" + World.platform().getAddress() +
                 "/v1/objects/region/odd%20" + std::to_string(++Number);
     Call.Body_ = Body;
-    REQUIRE(callAndWait(std::move(Call)).Status_ == 200);
+    HttpResult Result = callAndWait(std::move(Call));
+    REQUIRE(Result.Status_ == 200);
     CHECK(waitUntil(
         [&] {
           return !World.vm(0).Process_->isRunning() ||
--- a/test/process/faulty_server_test.cpp
+++ b/test/process/faulty_server_test.cpp
@@ -320,7 +320,7 @@
       "X\x7f: 1\r\n" + Length,
       "X\x0b: 1\r\n" + Length,
       "X\ry: 1\r\n" + Length,
-      std::string("X\0: 1\r\n", 8) + Length,
+      std::string("X\0: 1\r\n", 7) + Length,
       ": 1\r\n" + Length,
       "X\r\n" + Length,
       "Content-Length : 2\r\n" + Length,
--- a/test/unit/store_follower_test.cpp
+++ b/test/unit/store_follower_test.cpp
@@ -104,8 +104,9 @@
 private:
   void sendPage(const IngressExchangePtr &Exchange) {
     std::string Target(Exchange->getMessage().target());
-    std::map<std::string, std::string> Query = parseQuery(
-        Target.substr(std::min(Target.find("?") + 1, Target.size())));
+    std::string Plain = "/api/objects/things";
+    std::map<std::string, std::string> Query =
+        parseQuery(Target.substr(std::min(Plain.size() + 1, Target.size())));
     if (Query.contains("watch")) {
       Watch_ = Exchange;
       return;
@@ -220,8 +221,7 @@
 TEST_CASE("follower: a list goes on after a page that can't be read") {
   const std::string OddObjects[] = {
       "{\"metadata\":{\"name\":\"i-x\xff\",\"revision\":3}}",
-      "{\"metadata\":{\"name\":\"i-x\xff\",\"revision\":3},\"specification\":"
-      "\\}",
+      R"({"metadata":{"name":"i-x","revision":3},"specification":\})",
       R"({"metadata":{"name":"i-x\ud800","revision":3}})",
       R"({"metadata":{"name":"i-x"}})",
       R"({"metadata":{"name":"i-x","revision":"3"},"specification":{}})",
