--- a/src/daemon/platform_client.cpp
+++ b/src/daemon/platform_client.cpp
@@ -33,10 +33,11 @@
 /// \return The string field \p Name of \p Value, or an empty string if there is
 /// none.
 std::string getString(const json &Value, const char *Name) {
-  auto Found = Value.is_object() ? Value.find(Name) : Value.end();
-  bool IsString =
-      Value.is_object() && Found != Value.end() && Found->is_string();
-  return IsString ? Found->get<std::string>() : std::string();
+  if (!Value.is_object())
+    return "";
+  auto Found = Value.find(Name);
+  return Found != Value.end() && Found->is_string() ? Found->get<std::string>()
+                                                    : "";
 }
 
 /// \return The object, or nothing if the item names none.
