Fix: [Test] VMs that are cut off together confirm each other's homes: a test that fails

What callers saw: requests whose route has homes ran outside them, on VMs behind one cut from the store and from the other VMs (rule HOME).

The test runs three VMs. The two of the north lose the store and the third VM, in both directions, and the homes change to the south. The stand-in's links lead to a VM and can't tell callers apart, so a link may now stall those connections on which a given text is sent: the end of the sender's record in a heartbeat.

--- a/standin/link.cpp
+++ b/standin/link.cpp
@@ -68,6 +68,19 @@
   Target_ = Target;
 }
 
+void Link::setStalledText(const std::string &Text) {
+  std::lock_guard Lock(Mutex_);
+  StalledText_ = Text;
+}
+
+bool Link::hasStalledText(const std::deque<Chunk> &Data) {
+  std::lock_guard Lock(Mutex_);
+  return !StalledText_.empty() &&
+         std::any_of(Data.begin(), Data.end(), [this](const Chunk &Each) {
+           return Each.Data_.find(StalledText_) != std::string::npos;
+         });
+}
+
 void Link::setMode(LinkMode Mode) {
   if (Mode == LinkMode::Stuck)
     MarkStuck_ = true;
@@ -155,10 +168,10 @@
 }
 
 bool Link::relay(Flow &F, Time Now) {
-  bool IsSilent = F.Stuck_ || Mode_ == LinkMode::Silent;
   bool Alive = readInto(F.Near_, F.Out_, F.NearEnded_, Now) &&
                readInto(F.Far_, F.Back_, F.FarEnded_, Now);
-  if (IsSilent)
+  F.Stuck_ = F.Stuck_ || hasStalledText(F.Out_);
+  if (F.Stuck_ || Mode_ == LinkMode::Silent)
     return Alive && !F.NearEnded_;
   if (!F.Out_.empty())
     F.IsWaiting_ = true;
--- a/standin/link_base.h
+++ b/standin/link_base.h
@@ -31,6 +31,10 @@
   void setTarget(const std::string &Target);
   void setMode(LinkMode Mode);
   void setDelay(Duration Delay) { DelayMicros_ = Delay.count(); }
+
+  /// Stalls each connection on which the connecting side sends \p Text at a
+  /// time, and so tells callers apart. With an empty text no further one.
+  void setStalledText(const std::string &Text);
   uint64_t getBytes() const { return Bytes_; }
   /// @}
 
@@ -54,13 +58,15 @@
   void run();
   void accept();
   bool relay(Flow &F, Time Now);
+  bool hasStalledText(const std::deque<Chunk> &Data);
   bool readInto(int Socket, std::deque<Chunk> &Queue, bool &Ended, Time Now);
   bool deliver(int Socket, std::deque<Chunk> &Queue, Time Now);
   static void flood(Flow &F, Time Now);
   static void closeFlow(Flow &F);
 
-  std::mutex Mutex_;                           ///< Guards Target_.
+  std::mutex Mutex_;                           ///< Guards the next two.
   std::string Target_;                         ///< "address:port" to relay to.
+  std::string StalledText_;                    ///< See setStalledText().
   std::string Address_;                        ///< Listening address.
   int Listen_ = -1;                            ///< Listening socket.
   std::vector<std::unique_ptr<Flow>> Flows_;   ///< Open connections.
--- a/standin/routed_fleet.cpp
+++ b/standin/routed_fleet.cpp
@@ -124,6 +124,15 @@
   return Version_;
 }
 
+void RoutedFleet::setHeartbeatsLost(size_t From, size_t To, bool AreLost) {
+  const FleetVm &Sender = *Vms_[From];
+  // The end of the sender's record, unlike those of VMs that it tells of.
+  Vms_[To]->PeerLink_->setStalledText(
+      AreLost ? absl::StrCat(R"("vm":")", Sender.Name_, R"(","zone":")",
+                             Sender.Zone_, R"("},"updates")")
+              : "");
+}
+
 void RoutedFleet::registerServer(const FleetServer &Server, bool IsDraining) {
   json Entry = Server.Server_->getEntry(Server.Service_, Server.Zone_,
                                         IsDraining, ++Sequence_);
--- a/standin/routed_fleet_base.h
+++ b/standin/routed_fleet_base.h
@@ -71,6 +71,10 @@
   unsigned configure(const nlohmann::json &Routes,
                      const nlohmann::json &Workspaces = nullptr);
 
+  /// Loses the heartbeats that one entry VM sends to another one, or ends that.
+  /// What the latter sends isn't affected.
+  void setHeartbeatsLost(size_t From, size_t To, bool AreLost);
+
   /// Writes or removes the entry of a backend server in the object store.
   void registerServer(const FleetServer &Server, bool IsDraining = false);
   void unregisterServer(const FleetServer &Server);
--- a/test/process/outdated_homes_test.cpp
+++ b/test/process/outdated_homes_test.cpp
@@ -8,10 +8,12 @@
 
 namespace {
 
-/// Two VMs in different regions, both of which read the store.
+/// VMs in different regions, the first one of each zone reads the store.
 class Fixture : public SteeringFixture {
 public:
-  Fixture() : SteeringFixture({{"north-a", "south-a"}, {"one"}}) {
+  explicit Fixture(const std::vector<std::string> &Zones = {"north-a",
+                                                            "south-a"})
+      : SteeringFixture({Zones, {"one"}}) {
     setHome("north");
     startAll();
     // Watches are open, and the VMs have exchanged heartbeats.
@@ -25,8 +27,8 @@
         {makeRoute("r-read", "/read/", "one", true, seconds(3)), Home}));
   }
 
-  unsigned getStatus(const std::string &Target) {
-    RouteClient Client(Fleet_.vm(0).FrontLink_->getAddress());
+  unsigned getStatus(const std::string &Target, size_t Vm = 0) {
+    RouteClient Client(Fleet_.vm(Vm).FrontLink_->getAddress());
     return Client
         .call(
             {"GET", Target, "home" + std::to_string(++Count_), "", seconds(3)},
@@ -34,19 +36,40 @@
         .Status_;
   }
 
-  /// Sends requests with homes through the first VM.
+  /// Sends requests with homes through a VM.
   /// \return Number that servers of the north received.
-  unsigned countInNorth(unsigned Status) {
-    unsigned Before = getArrivals("north-a");
+  unsigned countInNorth(unsigned Status, size_t Vm = 0) {
+    unsigned Before = getNorthArrivals();
     for (int I = 0; I < 5; ++I)
-      CHECK(getStatus("/home/x") == Status);
-    return getArrivals("north-a") - Before;
+      CHECK(getStatus("/home/x", Vm) == Status);
+    return getNorthArrivals() - Before;
   }
 
 private:
+  unsigned getNorthArrivals() {
+    return getArrivals("north-a") + getArrivals("north-b");
+  }
+
   int Count_ = 0; ///< Number of requests.
 };
 
+/// Three VMs, of which the first two, those of the north, are cut off together.
+class CutFixture : public Fixture {
+public:
+  CutFixture() : Fixture({"north-a", "north-b", "south-a"}) {}
+
+  void setCut(bool IsCut) {
+    LinkMode Mode = IsCut ? LinkMode::Silent : LinkMode::Pass;
+    Fleet_.vm(2).PeerLink_->setMode(Mode);
+    for (size_t Vm = 0; Vm < CutCount; ++Vm) {
+      Fleet_.setHeartbeatsLost(2, Vm, IsCut);
+      Fleet_.vm(Vm).StoreLink_->setMode(Mode);
+    }
+  }
+
+  static constexpr size_t CutCount = 2;
+};
+
 constexpr unsigned Ok = 200;
 constexpr unsigned Unavailable = 503;
 
@@ -124,3 +147,23 @@
     SteeringFixture::waitForPropagation();
   CHECK(F.countInNorth(Ok) == 5);
 }
+
+TEST_CASE("homes: VMs that are cut off together don't confirm each other's "
+          "homes") {
+  CutFixture F;
+  for (size_t Vm = 0; Vm < CutFixture::CutCount; ++Vm)
+    CHECK(F.countInNorth(Ok, Vm) == 5);
+  F.setCut(true);
+  F.setHome("south");
+  SteeringFixture::waitForPropagation();
+  for (size_t Vm = 0; Vm < CutFixture::CutCount; ++Vm) {
+    CHECK(F.countInNorth(Unavailable, Vm) == 0);
+    CHECK(F.getStatus("/read/x", Vm) == Ok);
+  }
+  F.setCut(false);
+  for (size_t Vm = 0; Vm < CutFixture::CutCount; ++Vm) {
+    CHECK(SteeringFixture::waitUntil(
+        [&F, Vm] { return F.getStatus("/home/x", Vm) == Ok; }));
+    CHECK(F.countInNorth(Ok, Vm) == 0);
+  }
+}
