Fix: [Configuration] A confirmation of homes counts from what the store held, not from who was heard

Cause: a heartbeat that named the version in force here confirmed it from its arrival, whatever its sender knew. VMs behind one cut renewed each other's confirmation, and a heartbeat that had waited for seconds at a busy link counted as news.

Now a confirmation is dated by when the store was last known to hold nothing newer. Heartbeats tell the age of their sender's confirmation (`configAgeMs`), responses to GET /v1/config as well (`relay-age`). Only responses to own calls confirm, counted back from when the call was sent, so ages add up along the way and VMs that hear only each other can't renew anything. A configuration that was fetched from another VM comes into force with its age there. A VM of an earlier release tells no age and confirms nothing; nor does one that knows of a newer version than its own, as its source is late. Ages of an hour and more count as unknown, and so does the age of servers that were never read.

With the store away for all, no age gets smaller. Homes hold nevertheless while a VM with the same version answers, no newer one was reported, and no VM was lost since the last confirmation or in the 2 s before it: then nobody is missing who may have got a newer version. A VM that announced its leave isn't missed.

`homes-unconfirmed` and `homes-confirmed` are logged, and `cranberry_config_confirmation_age_ms` tells the age. A heartbeat carries one number more.

`peer version: other VMs confirm*` used recordReport() for what is now recordConfirmation(); its checks are the same, with more on versions that aren't in force.

--- a/src/platform/decode_fields.cpp
+++ b/src/platform/decode_fields.cpp
@@ -163,4 +163,13 @@
   Response.set(header::RelayAge, std::to_string(toMilliseconds(Age)));
 }
 
+std::optional<Duration> decodeRelayAge(const std::string &Text) {
+  // Longest age that is believed, so that sums don't overflow.
+  constexpr int64_t MaxAgeMs = 3600000;
+  int64_t Age = 0;
+  if (!absl::SimpleAtoi(Text, &Age))
+    return std::nullopt;
+  return milliseconds(std::clamp<int64_t>(Age, 0, MaxAgeMs));
+}
+
 } // namespace cranberry::platform
--- a/src/platform/decode_func.h
+++ b/src/platform/decode_func.h
@@ -89,6 +89,9 @@
 /// Sets the time since the objects of such a response were read from the store.
 void setRelayAge(ResponseMessage &Response, Duration Age);
 
+/// \return That time, or nothing if \p Text isn't a number.
+std::optional<Duration> decodeRelayAge(const std::string &Text);
+
 /// Decodes the routing configuration.
 /// \param[out] Why Invalid field and reason, if there is no result.
 std::optional<RoutingConfig> decodeRouting(const StoreObject &Object,
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -2,12 +2,12 @@
 #include "platform/store_client_base.h"
 
 #include "net/http_target_func.h"
+#include "platform/decode_func.h"
 #include "platform/wire_names.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
-#include <algorithm>
 #include <utility>
 
 using nlohmann::json;
@@ -52,15 +52,9 @@
   return std::nullopt;
 }
 
-/// Longest age that is believed, so that sums don't overflow.
-constexpr int64_t MaxAgeMs = 3600000;
-
 Duration decodeAge(const HttpResult &Result) {
-  for (const auto &[Name, Value] : Result.Headers_)
-    if (int64_t Age = 0;
-        Name == header::RelayAge && absl::SimpleAtoi(Value, &Age))
-      return milliseconds(std::clamp<int64_t>(Age, 0, MaxAgeMs));
-  return Duration(0);
+  return decodeRelayAge(Result.getHeader(header::RelayAge))
+      .value_or(Duration(0));
 }
 
 /// \return Path of one object.
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -212,6 +212,7 @@
     return;
   if (IsNew || Known.Member_.State_ != Update.State_)
     Known.StateSince_ = Now;
+  updateLoss(Known, IsNew, Update.State_, Now);
   // Only heartbeats of the VM itself tell the demand of its clients.
   std::vector<ServiceDemand> Demand =
       Update.Demand_.empty() ? Known.Member_.Demand_ : Update.Demand_;
@@ -225,6 +226,27 @@
   HasChanged_ = true;
 }
 
+void Membership::updateLoss(Peer &Known, bool IsNew, MemberState Next,
+                            Time Now) {
+  bool HasLeft = !IsNew && !Known.LostAt_ &&
+                 (Known.Member_.State_ == MemberState::Leaving ||
+                  Known.Member_.State_ == MemberState::Gone);
+  if (Next != MemberState::Suspect && Next != MemberState::Gone)
+    Known.LostAt_.reset();
+  else if (!Known.LostAt_ && !HasLeft)
+    Known.LostAt_ = Now;
+}
+
+std::vector<Time> Membership::getLosses() const {
+  std::vector<Time> Result;
+  for (const auto &[Vm, Known] : Peers_)
+    if (Known.LostAt_)
+      Result.push_back(*Known.LostAt_);
+  if (RemovedLostAt_)
+    Result.push_back(*RemovedLostAt_);
+  return Result;
+}
+
 void Membership::recordHeartbeatFailure(const std::string &Address, Time Now) {
   Peer *Known = findByAddress(Address);
   if (!Known || Known->Member_.State_ == MemberState::Gone ||
@@ -248,8 +270,10 @@
   std::erase_if(Peers_, [=, this](const auto &Item) {
     bool IsExpired = Item.second.Member_.State_ == MemberState::Gone &&
                      Now >= Item.second.StateSince_ + GoneRetention;
-    if (IsExpired)
+    if (IsExpired) {
       std::erase(PendingUpdates_, Item.first);
+      RemovedLostAt_ = std::max(RemovedLostAt_, Item.second.LostAt_);
+    }
     return IsExpired;
   });
 }
--- a/src/process/membership_base.h
+++ b/src/process/membership_base.h
@@ -18,6 +18,9 @@
   Member Sender_;                    ///< Current record of the sender.
   std::vector<Member> Updates_;      ///< Membership changes to disseminate.
   bool IsFullListRequested_ = false; ///< Whether to respond with all members.
+  /// Time since the store was known to hold nothing newer than the sender's
+  /// configuration. Unknown if the sender can't tell.
+  std::optional<Duration> ConfigAge_;
 };
 
 /// Detects failed entry VMs by heartbeats and disseminates membership changes
@@ -90,6 +93,10 @@
   /// \return Peers that are gone, ordered by name.
   MemberList getGoneMembers() const;
 
+  /// \return Times at which the VMs were lost that are suspect now, or gone
+  /// without having announced it.
+  std::vector<Time> getLosses() const;
+
   /// \return Version of the member list. Increases when a member is added or
   /// its address, location or state changes, but not with configuration
   /// revisions and key epochs.
@@ -104,12 +111,15 @@
   struct Peer {
     Member Member_;   ///< Newest record received.
     Time StateSince_; ///< Local time of the last state change.
+    /// Local time since which the VM is suspect, or gone without notice.
+    std::optional<Time> LostAt_;
     unsigned RetransmitsLeft_ =
         0; ///< Remaining heartbeats to add the record to.
   };
 
   Peer *findByAddress(const std::string &Address);
   void merge(const Member &Update, Time Now);
+  static void updateLoss(Peer &Known, bool IsNew, MemberState Next, Time Now);
   void updateSenderVersions(const Member &Sender);
   static void appendSuspicion(const Member &Known, HeartbeatBody &Body);
   void announceSelf();
@@ -129,6 +139,8 @@
   uint64_t ViewVersion_ = 0;              ///< Version of the member list.
   unsigned HeartbeatCount_ = 0;           ///< Heartbeats sent to known peers.
   bool HasChanged_ = true;                ///< See testAndClearChanged().
+  /// Last loss of a member whose record was removed.
+  std::optional<Time> RemovedLostAt_;
 };
 
 /// FNV-1a hash with a final mix. Unlike std::hash, it has the same value on
--- a/src/process/peer_version_tracker.cpp
+++ b/src/process/peer_version_tracker.cpp
@@ -6,15 +6,14 @@
 
 namespace cranberry {
 
-void PeerVersionTracker::setInForce(uint64_t Version, Time Now) {
+void PeerVersionTracker::setInForce(uint64_t Version, Time AsOf) {
   InForce_ = Version;
-  Confirmed_ = Now;
+  Confirmed_ = AsOf;
+  Answered_ = Never;
   Newer_.erase(Newer_.begin(), Newer_.upper_bound(Version));
 }
 
 void PeerVersionTracker::recordReport(uint64_t Version, Time Now) {
-  if (Version == InForce_)
-    recordConfirmation(Now);
   if (Version <= InForce_ || !Newer_.try_emplace(Version, Report{Now}).second)
     return;
   if (Newer_.size() > MaxVersions)
@@ -27,6 +26,12 @@
   });
 }
 
+bool PeerVersionTracker::isNewerKnown() const {
+  return std::any_of(Newer_.begin(), Newer_.end(), [](const auto &Each) {
+    return !Each.second.IsUnavailable_;
+  });
+}
+
 bool PeerVersionTracker::isOverdue(Time Now, Duration Limit) const {
   return std::any_of(Newer_.begin(), Newer_.end(), [&](const auto &Each) {
     Duration Age = Now - Each.second.First_;
@@ -59,9 +64,14 @@
   return true;
 }
 
-void PeerVersionTracker::recordConfirmation(Time Now) {
-  if (!isOverdue(Now, Duration(0)))
-    Confirmed_ = std::max(Confirmed_, Now);
+void PeerVersionTracker::recordConfirmation(uint64_t Version, Time AsOf) {
+  if (Version == InForce_ && !isOverdue(AsOf, Duration(0)))
+    Confirmed_ = std::max(Confirmed_, AsOf);
+}
+
+void PeerVersionTracker::recordAnswer(uint64_t Version, Time Asked) {
+  if (Version == InForce_)
+    Answered_ = std::max(Answered_, Asked);
 }
 
 uint64_t PeerVersionTracker::getNewest() const {
--- a/src/process/peer_version_tracker_base.h
+++ b/src/process/peer_version_tracker_base.h
@@ -20,15 +20,21 @@
 class PeerVersionTracker {
 public:
   /// \param Version Version in force here from now on; versions never decrease.
-  void setInForce(uint64_t Version, Time Now);
+  /// \param AsOf Time at which the store was known to hold no newer one.
+  void setInForce(uint64_t Version, Time AsOf);
 
-  /// Records that another VM has \p Version in force.
+  /// Records that another VM has \p Version in force. That confirms nothing, as
+  /// it doesn't tell what that VM knows of the store.
   void recordReport(uint64_t Version, Time Now);
 
   /// \return Whether a newer version than the one in force here is known to
   /// exist.
   bool isBehind(Time Now) const;
 
+  /// \return Whether a newer version was reported at any time that some VM may
+  /// supply.
+  bool isNewerKnown() const;
+
   /// \return Whether a newer version was reported \p Limit ago or earlier and
   /// still isn't in force here, although some VM may supply it.
   bool isOverdue(Time Now, Duration Limit) const;
@@ -46,14 +52,23 @@
   /// \return True at most once per FetchInterval, and then counts as a poll.
   bool startPoll(Time Now);
 
-  /// Records that another VM has the version in force here as well. Ignored
+  /// Records that another VM knows the store to have held nothing newer than
+  /// \p Version at \p AsOf. Ignored unless that version is in force here, and
   /// while a newer one is known: that VM may have missed it, too.
-  void recordConfirmation(Time Now);
+  void recordConfirmation(uint64_t Version, Time AsOf);
+
+  /// Records that another VM with \p Version in force has responded to a call.
+  /// \param Asked Time at which the call was sent.
+  void recordAnswer(uint64_t Version, Time Asked);
 
-  /// \return Last time at which another VM confirmed the version in force here,
-  /// or at which it came into force.
+  /// \return Last time at which, by what other VMs told and by how the version
+  /// in force here was read, the store held nothing newer.
   Time getLastConfirmation() const { return Confirmed_; }
 
+  /// \return When the last call was sent to which another VM with the version
+  /// in force here has responded.
+  Time getLastAnswer() const { return Answered_; }
+
   /// \return Newest version that this VM or another one has in force.
   uint64_t getNewest() const;
 
@@ -63,6 +78,9 @@
   /// Minimum interval between two fetches.
   static constexpr Duration FetchInterval = milliseconds(500);
 
+  /// Earlier than any time limit reaches back.
+  static constexpr Time Never = Time(-std::chrono::hours(10000));
+
   /// Time after which a reported version that nobody has supplied is ignored.
   static constexpr Duration MaxDoubt = seconds(10);
 
@@ -80,7 +98,8 @@
   std::map<uint64_t, Report> Newer_; ///< Newer versions.
   Time LastFetch_;                   ///< Start of the last fetch.
   Time LastPoll_;                    ///< Start of the last poll.
-  Time Confirmed_;                   ///< See getLastConfirmation().
+  Time Confirmed_ = Never;           ///< See getLastConfirmation().
+  Time Answered_ = Never;            ///< See getLastAnswer().
 };
 
 } // namespace cranberry
--- a/src/steering/config_exchange.cpp
+++ b/src/steering/config_exchange.cpp
@@ -3,6 +3,9 @@
 
 #include "core/duration_func.h"
 #include "net/http_message_func.h"
+#include "platform/decode_func.h"
+#include "platform/wire_names.h"
+#include "process/home_confirmation_func.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -31,10 +34,13 @@
 /// The rest is for the time until this VM hears of it.
 constexpr double MaxBehindShare = 0.5;
 
-/// Share of the bound after which homes that nobody confirms don't hold. VMs
-/// that confirm them may have missed a version for a moment themselves.
+/// Share of the bound after which homes that nobody confirms don't hold. The
+/// source that confirms them may have missed a version for a moment itself.
 constexpr double MaxUnconfirmedShare = 0.75;
 
+/// Ages from here on are unknown, as what other VMs tell is cut there.
+constexpr Duration MaxBelievedAge = std::chrono::hours(1);
+
 constexpr unsigned Ok = 200;
 constexpr unsigned NotModified = 304;
 constexpr unsigned Unavailable = 503;
@@ -45,11 +51,31 @@
                                EventLog &Log, uint64_t Seed)
     : View_(View), Log_(Log), Client_(Loop), NextPolled_(Seed) {}
 
-void ConfigExchange::onVersionReported(const std::string &Peer,
-                                       uint64_t Version) {
+Time ConfigExchange::getAsOf(Time Asked, std::optional<Duration> Age) {
+  // A VM of an earlier release doesn't tell the age.
+  return Age && *Age < MaxBelievedAge ? Asked - *Age
+                                      : PeerVersionTracker::Never;
+}
+
+void ConfigExchange::setLosses(std::vector<Time> Losses) {
+  Losses_ = std::move(Losses);
+  auto Last = std::max_element(Losses_.begin(), Losses_.end());
+  LastLoss_ = Last == Losses_.end() ? std::nullopt : std::optional<Time>(*Last);
+}
+
+void ConfigExchange::recordAnswer(uint64_t Version, Time Asked,
+                                  std::optional<Duration> Age) {
+  Versions_.recordAnswer(Version, Asked);
+  Versions_.recordConfirmation(Version, getAsOf(Asked, Age));
+}
+
+void ConfigExchange::onVersionReported(const VersionReport &Report) {
+  const auto &[Peer, Version, Asked, Age] = Report;
   Time Now = getNow();
   bool WasBehind = Versions_.isBehind(Now);
   Versions_.recordReport(Version, Now);
+  if (Asked)
+    recordAnswer(Version, *Asked, Age);
   if (!WasBehind && Versions_.isBehind(Now))
     Log_.write(Now, "config-behind",
                {{"version", View_.getVersion()},
@@ -62,8 +88,16 @@
 
 Duration ConfigExchange::getConfirmationAge(Time Now) const {
   Duration Age = Now - Versions_.getLastConfirmation();
-  return View_.isConfigUnavailable() ? Age
-                                     : std::min(Age, View_.getServerAge(Now));
+  return View_.isConfigUnavailable() || !View_.isComplete()
+             ? Age
+             : std::min(Age, View_.getServerAge(Now));
+}
+
+std::optional<Duration> ConfigExchange::getReportedAge() const {
+  Time Now = getNow();
+  if (View_.getVersion() == 0 || Versions_.isBehind(Now))
+    return std::nullopt;
+  return getConfirmationAge(Now);
 }
 
 bool ConfigExchange::isOutdated(Time Now) const {
@@ -71,7 +105,25 @@
 }
 
 bool ConfigExchange::areHomesConfirmed(Time Now) const {
-  return getConfirmationAge(Now) < scaleDuration(Bound_, MaxUnconfirmedShare);
+  return doHomesHold({Now - getConfirmationAge(Now), Versions_.getLastAnswer(),
+                      Versions_.isNewerKnown(), LastLoss_},
+                     Now, scaleDuration(Bound_, MaxUnconfirmedShare));
+}
+
+void ConfigExchange::logHomes() {
+  Time Now = getNow();
+  bool AreConfirmed = areHomesConfirmed(Now);
+  if (!View_.isComplete() || AreConfirmed == WereHomesConfirmed_)
+    return;
+  WereHomesConfirmed_ = AreConfirmed;
+  Duration Age = getConfirmationAge(Now);
+  Log_.write(
+      Now, AreConfirmed ? "homes-confirmed" : "homes-unconfirmed",
+      {{"version", View_.getVersion()},
+       {"newest", Versions_.getNewest()},
+       {"ageMs", Age},
+       {"answerMs", Now - Versions_.getLastAnswer()},
+       {"lost", static_cast<uint64_t>(countLosses(Losses_, Now - Age))}});
 }
 
 bool ConfigExchange::shouldPoll() {
@@ -90,25 +142,29 @@
   HttpCall Call;
   Call.Method_ = "GET";
   Call.Url_ = "http://" + Peer + Path;
-  Call.Headers_.emplace_back("If-None-Match", absl::StrCat(View_.getVersion()));
+  uint64_t Known = View_.getVersion();
+  Call.Headers_.emplace_back("If-None-Match", absl::StrCat(Known));
   Call.Timeout_ = FetchTimeout;
   Call.ConnectTimeout_ = ConnectTimeout;
   unsigned &Count = Version == 0 ? PollCount_ : FetchCount_;
   ++Count;
   Time Asked = getNow();
-  Client_.startCall(std::move(Call), [this, Peer, Version, Asked,
+  Client_.startCall(std::move(Call), [this, Peer, Version, Known, Asked,
                                       &Count](const HttpResult &Result) {
     --Count;
     Reason Why;
     bool IsReceived = Result.Code_ == ResultCode::Ok && Result.Status_ == Ok;
-    bool IsApplied = IsReceived && View_.applyRelayed(Result.Body_, Why);
+    std::optional<Duration> Age =
+        platform::decodeRelayAge(Result.getHeader(platform::header::RelayAge));
+    bool IsApplied = IsReceived &&
+                     View_.applyRelayed(Result.Body_, getAsOf(Asked, Age), Why);
     AppliedCount_ += IsApplied ? 1 : 0;
     bool IsSame =
         Result.Code_ == ResultCode::Ok && Result.Status_ == NotModified;
     if ((IsReceived || IsSame) && View_.getVersion() < Version)
       Versions_.recordUnavailable(Version);
     if (IsSame)
-      Versions_.recordConfirmation(Asked);
+      recordAnswer(Known, Asked, Age);
     Log_.write(getNow(), "config-fetched",
                {{"peer", Peer},
                 {"reported", Version},
@@ -119,6 +175,11 @@
   });
 }
 
+void ConfigExchange::setReportedAge(ResponseMessage &Response) const {
+  if (std::optional<Duration> Age = getReportedAge())
+    platform::setRelayAge(Response, *Age + milliseconds(1)); // Rounded up.
+}
+
 bool ConfigExchange::handleRequest(const IngressExchangePtr &Exchange) const {
   if (Exchange->getMessage().target() != Path)
     return false;
@@ -127,12 +188,17 @@
       Exchange->getMessage()[http::field::if_none_match];
   if (absl::SimpleAtoi(absl::string_view(Text.data(), Text.size()), &Known) &&
       Known != 0 && Known == View_.getVersion()) {
-    Exchange->respond(makeResponse(NotModified, ""));
+    ResponseMessage Response = makeResponse(NotModified, "");
+    setReportedAge(Response);
+    Exchange->respond(Response);
     return true;
   }
   std::string Page = View_.encodeActiveConfig();
-  Exchange->respond(Page.empty() ? makeResponse(Unavailable, "")
-                                 : makeResponse(Ok, Page, "application/json"));
+  ResponseMessage Response = Page.empty()
+                                 ? makeResponse(Unavailable, "")
+                                 : makeResponse(Ok, Page, "application/json");
+  setReportedAge(Response);
+  Exchange->respond(Response);
   return true;
 }
 
--- a/src/steering/config_exchange_base.h
+++ b/src/steering/config_exchange_base.h
@@ -7,8 +7,10 @@
 #include "net/ingress_server_base.h"
 #include "observe/event_log_base.h"
 #include "process/peer_version_tracker_base.h"
+#include "steering/peer_exchange_base.h"
 #include "steering/store_view_base.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,7 +29,13 @@
                  uint64_t Seed);
 
   /// \param Version Version that has taken effect here.
-  void setInForce(uint64_t Version) { Versions_.setInForce(Version, getNow()); }
+  /// \param AsOf Time at which the store was known to hold nothing newer.
+  void setInForce(uint64_t Version, Time AsOf) {
+    Versions_.setInForce(Version, AsOf);
+  }
+
+  /// \param Losses Times at which VMs that are missing were lost.
+  void setLosses(std::vector<Time> Losses);
 
   /// \param Bound Time within which a version has to be in force on all VMs.
   void setBound(Duration Bound) { Bound_ = Bound; }
@@ -49,13 +57,19 @@
   /// within the bound.
   bool areHomesConfirmed(Time Now) const;
 
-  /// \return Time since the version in force here was confirmed by the source
-  /// of updates or by another VM.
+  /// Logs when homes begin or cease to be confirmed. Called regularly.
+  void logHomes();
+
+  /// \return Time since the store was known to hold nothing newer than the
+  /// version in force here, by the source of updates or by other VMs.
   Duration getConfirmationAge(Time Now) const;
 
-  /// Handles a report of the version that another VM has in force.
-  /// \param Peer Its peer address.
-  void onVersionReported(const std::string &Peer, uint64_t Version);
+  /// \return The same for other VMs; nothing without a configuration, and while
+  /// a newer one is known that the source hasn't supplied.
+  std::optional<Duration> getReportedAge() const;
+
+  /// Handles what another VM tells of its configuration.
+  void onVersionReported(const VersionReport &Report);
 
   /// \return Versions that other VMs have reported.
   const PeerVersionTracker &getVersions() const { return Versions_; }
@@ -70,16 +84,22 @@
 private:
   /// \param Version Version that the other VM has reported, or 0.
   void fetch(const std::string &Peer, uint64_t Version);
-
-  StoreView &View_;             ///< Configuration in force.
-  EventLog &Log_;               ///< Event log.
-  PeerVersionTracker Versions_; ///< Versions of other VMs.
-  HttpClient Client_;           ///< Connections to other VMs.
-  uint64_t AppliedCount_ = 0;   ///< See getAppliedCount().
-  Duration Bound_{0};           ///< See setBound().
-  size_t NextPolled_;           ///< Counts polls, for the choice of a VM.
-  unsigned FetchCount_ = 0;     ///< Fetches without a response so far.
-  unsigned PollCount_ = 0;      ///< Polls without a response so far.
+  static Time getAsOf(Time Asked, std::optional<Duration> Age);
+  void recordAnswer(uint64_t Version, Time Asked, std::optional<Duration> Age);
+  void setReportedAge(ResponseMessage &Response) const;
+
+  StoreView &View_;                ///< Configuration in force.
+  EventLog &Log_;                  ///< Event log.
+  PeerVersionTracker Versions_;    ///< Versions of other VMs.
+  HttpClient Client_;              ///< Connections to other VMs.
+  uint64_t AppliedCount_ = 0;      ///< See getAppliedCount().
+  Duration Bound_{0};              ///< See setBound().
+  std::vector<Time> Losses_;       ///< See setLosses().
+  std::optional<Time> LastLoss_;   ///< Last one of them.
+  bool WereHomesConfirmed_ = true; ///< As last logged.
+  size_t NextPolled_;              ///< Counts polls, for the choice of a VM.
+  unsigned FetchCount_ = 0;        ///< Fetches without a response so far.
+  unsigned PollCount_ = 0;         ///< Polls without a response so far.
 };
 
 } // namespace cranberry
--- a/src/steering/heartbeat_codec.cpp
+++ b/src/steering/heartbeat_codec.cpp
@@ -27,6 +27,18 @@
   return Result;
 }
 
+/// Longest age that is told and believed, so that sums don't overflow.
+constexpr int64_t MaxAgeMs = 3600000;
+
+std::optional<Duration> decodeConfigAge(const json &Sender) {
+  // A VM of an earlier release doesn't send it.
+  auto Found = Sender.find("configAgeMs");
+  if (Found == Sender.end())
+    return std::nullopt;
+  double Age = std::clamp(Found->get<double>(), 0.0, double{MaxAgeMs});
+  return milliseconds(static_cast<int64_t>(std::ceil(Age)));
+}
+
 json encodeMember(const Member &Vm) {
   return {{"vm", Vm.Vm_},
           {"region", Vm.Region_},
@@ -71,6 +83,9 @@
   json Sender = encodeMember(Body.Sender_);
   if (!Body.Sender_.Demand_.empty())
     Sender["demand"] = encodeDemand(Body.Sender_.Demand_);
+  if (Body.ConfigAge_)
+    Sender["configAgeMs"] =
+        std::min(toMilliseconds(*Body.ConfigAge_) + 1, MaxAgeMs);
   return json{{"sender", Sender},
               {"updates", Updates},
               {"wantsAll", Body.IsFullListRequested_}}
@@ -83,6 +98,7 @@
     json Root = json::parse(Text);
     HeartbeatBody Result;
     Result.Sender_ = decodeMember(Root.at("sender"));
+    Result.ConfigAge_ = decodeConfigAge(Root.at("sender"));
     for (const json &Vm : Root.at("updates"))
       Result.Updates_.push_back(decodeMember(Vm));
     Result.IsFullListRequested_ = Root.at("wantsAll");
--- a/src/steering/peer_exchange.cpp
+++ b/src/steering/peer_exchange.cpp
@@ -72,26 +72,34 @@
   });
 }
 
+std::string PeerExchange::encode(HeartbeatBody Body) const {
+  if (GetConfigAge_)
+    Body.ConfigAge_ = GetConfigAge_();
+  return encodeHeartbeat(Body);
+}
+
 void PeerExchange::sendHeartbeat(const std::string &Address) {
   HttpCall Call;
   Call.Method_ = "POST";
   Call.Url_ = "http://" + Address + HeartbeatPath;
-  Call.Body_ = encodeHeartbeat(Membership_.makeHeartbeat(Address));
+  Call.Body_ = encode(Membership_.makeHeartbeat(Address));
   Call.Timeout_ = ResponseTimeout;
   Call.ConnectTimeout_ = ConnectTimeout;
   Call.MaxIdleTime_ = MaxIdleTime;
-  Client_.startCall(std::move(Call), [this, Address](const HttpResult &Result) {
-    std::optional<HeartbeatBody> Body;
-    if (Result.Code_ == ResultCode::Ok)
-      Body = decodeHeartbeat(Result.Body_);
-    if (Body) {
-      Membership_.handleHeartbeatResponse(*Body, getNow());
-      notifyVersion(Body->Sender_);
-    } else {
-      Membership_.recordHeartbeatFailure(Address, getNow());
-    }
-    notifyIfChanged();
-  });
+  Time Asked = getNow();
+  Client_.startCall(std::move(Call),
+                    [this, Address, Asked](const HttpResult &Result) {
+                      std::optional<HeartbeatBody> Body;
+                      if (Result.Code_ == ResultCode::Ok)
+                        Body = decodeHeartbeat(Result.Body_);
+                      if (Body) {
+                        Membership_.handleHeartbeatResponse(*Body, getNow());
+                        notifyVersion(*Body, Asked);
+                      } else {
+                        Membership_.recordHeartbeatFailure(Address, getNow());
+                      }
+                      notifyIfChanged();
+                    });
 }
 
 void PeerExchange::handleRequest(const IngressExchangePtr &Exchange) {
@@ -114,14 +122,16 @@
     return;
   }
   HeartbeatBody Answer = Membership_.handleHeartbeat(*Body, getNow());
-  Exchange->respond(makeResponse(Ok, encodeHeartbeat(Answer)));
-  notifyVersion(Body->Sender_);
+  Exchange->respond(makeResponse(Ok, encode(std::move(Answer))));
+  notifyVersion(*Body, std::nullopt);
   notifyIfChanged();
 }
 
-void PeerExchange::notifyVersion(const Member &Sender) const {
+void PeerExchange::notifyVersion(const HeartbeatBody &Body,
+                                 std::optional<Time> Asked) const {
   if (OnVersion_)
-    OnVersion_(Sender.PeerAddress_, Sender.Revision_);
+    OnVersion_({Body.Sender_.PeerAddress_, Body.Sender_.Revision_, Asked,
+                Body.ConfigAge_});
 }
 
 void PeerExchange::notifyIfChanged() {
--- a/src/steering/peer_exchange_base.h
+++ b/src/steering/peer_exchange_base.h
@@ -12,11 +12,23 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace cranberry {
 
+/// What a VM tells of its configuration in a heartbeat.
+struct VersionReport {
+  std::string Peer_;     ///< Its peer address.
+  uint64_t Version_ = 0; ///< Version that it has in force.
+  /// When the call was sent to which it has responded; unknown if it has called
+  /// itself, as nobody knows how long the heartbeat was on the way.
+  std::optional<Time> Asked_;
+  /// Time since the store was known to hold nothing newer, if it can tell.
+  std::optional<Duration> Age_;
+};
+
 /// Sends heartbeats, responds to them, and reports changes of the member list.
 class PeerExchange {
 public:
@@ -61,13 +73,19 @@
   /// heartbeats.
   void setConfigVersion(uint64_t Version) { Membership_.setRevision(Version); }
 
-  /// \param Handler Called with the peer address of each VM that sends a
-  /// heartbeat, and the version of the configuration that it has in force.
-  void setVersionHandler(
-      std::function<void(const std::string &, uint64_t)> Handler) {
+  /// \param Handler Called for each VM that sends or answers a heartbeat.
+  void setVersionHandler(std::function<void(const VersionReport &)> Handler) {
     OnVersion_ = std::move(Handler);
   }
 
+  /// \param Query Supplies the age of this VM's configuration.
+  void setConfigAgeQuery(std::function<std::optional<Duration>()> Query) {
+    GetConfigAge_ = std::move(Query);
+  }
+
+  /// \return See Membership::getLosses().
+  std::vector<Time> getLosses() const { return Membership_.getLosses(); }
+
   /// Announces to all members that this VM is leaving.
   void announceLeave();
 
@@ -85,14 +103,18 @@
   void sendHeartbeat(const std::string &Address);
   void handleRequest(const IngressExchangePtr &Exchange);
   void notifyIfChanged();
-  void notifyVersion(const Member &Sender) const;
+  void notifyVersion(const HeartbeatBody &Body,
+                     std::optional<Time> Asked) const;
+  std::string encode(HeartbeatBody Body) const;
 
   Duration Period_;                ///< Time between two rounds.
   EventLog &Log_;                  ///< Event log.
   std::function<void()> OnChange_; ///< See the constructor.
   IngressHandler RequestHandler_;  ///< Handles other requests.
-  std::function<void(const std::string &, uint64_t)>
-      OnVersion_;                    ///< See setVersionHandler().
+  std::function<void(const VersionReport &)>
+      OnVersion_; ///< See setVersionHandler().
+  std::function<std::optional<Duration>()>
+      GetConfigAge_;                 ///< See setConfigAgeQuery().
   Membership Membership_;            ///< Tracks the state of members.
   uint64_t NotifiedViewVersion_ = 0; ///< Last version reported.
   /// States that were reported, by VM.
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -82,9 +82,10 @@
   Configs_.setBound(Settings_.ConfigPropagation_);
   Peers_.setRequestHandler(
       [this](const IngressExchangePtr &E) { handlePeerRequest(E); });
-  Peers_.setVersionHandler([this](const std::string &Peer, uint64_t Version) {
-    Configs_.onVersionReported(Peer, Version);
+  Peers_.setVersionHandler([this](const VersionReport &Report) {
+    Configs_.onVersionReported(Report);
   });
+  Peers_.setConfigAgeQuery([this] { return Configs_.getReportedAge(); });
   Router_.setConfigCurrencyQuery([this] { return getConfigCurrency(); });
   Router_.setOnLeaving([this](const std::string &Server, int64_t StartTimeMs) {
     bool IsNews = View_.recordLeaving(Server, StartTimeMs);
@@ -110,8 +111,8 @@
 
 StoreViewHandlers SteeringVm::makeViewHandlers() {
   StoreViewHandlers Result;
-  Result.OnConfig_ = [this](const RoutingConfigPtr &Next) {
-    applyConfig(Next);
+  Result.OnConfig_ = [this](const RoutingConfigPtr &Next, Time AsOf) {
+    applyConfig(Next, AsOf);
   };
   Result.OnServers_ = [this] { updateRouterServers(); };
   Result.OnFailure_ = [this] { Router_.recordFailure(); };
@@ -190,8 +191,8 @@
           Configs_.isOutdated(Now), Configs_.areHomesConfirmed(Now)};
 }
 
-void SteeringVm::applyConfig(const RoutingConfigPtr &Config) {
-  Configs_.setInForce(Config->Version_);
+void SteeringVm::applyConfig(const RoutingConfigPtr &Config, Time AsOf) {
+  Configs_.setInForce(Config->Version_, AsOf);
   Peers_.setConfigVersion(Config->Version_);
   Router_.setRouting(Config);
   const ClientLimits &Limits = Config->Limits_;
@@ -204,6 +205,7 @@
 void SteeringVm::onMembersChanged() {
   HasMembersChanged_ = true;
   MemberList Members = Peers_.getMembers();
+  Configs_.setLosses(Peers_.getLosses());
   if (Members.size() < MemberCount_)
     Router_.recordFailure();
   MemberCount_ = Members.size();
@@ -271,6 +273,7 @@
   updateRouterServers();
   if (!IsStopping_ && Configs_.shouldPoll())
     Configs_.poll(Peers_.getPeerAddresses());
+  Configs_.logHomes();
   Router_.closeIdleConnections();
   updateLoad();
   updateDemand();
--- a/src/steering/steering_vm_base.h
+++ b/src/steering/steering_vm_base.h
@@ -48,7 +48,7 @@
   Member makeSelf(uint64_t Incarnation) const;
   StoreViewHandlers makeViewHandlers();
   nlohmann::json makeVmEntry() const;
-  void applyConfig(const RoutingConfigPtr &Config);
+  void applyConfig(const RoutingConfigPtr &Config, Time AsOf);
   void onMembersChanged();
   void announce();
   void onAnnounceResponse(const platform::StoreResponse &Reply);
--- a/src/steering/steering_vm_ports.cpp
+++ b/src/steering/steering_vm_ports.cpp
@@ -72,6 +72,9 @@
                     static_cast<double>(Configs_.getVersions().getNewest()));
   Metrics_.setGauge("cranberry_config_fetched", "all",
                     static_cast<double>(Configs_.getAppliedCount()));
+  Metrics_.setGauge("cranberry_config_confirmation_age_ms", "all",
+                    static_cast<double>(
+                        toMilliseconds(Configs_.getConfirmationAge(getNow()))));
   Metrics_.setGauge("cranberry_entry_vms", "known",
                     static_cast<double>(MemberCount_));
   Metrics_.setGauge("cranberry_vm_use", "all", VmLoad_.getUse());
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -197,11 +197,11 @@
   addRelayHandlers(platform::kind::Config, Result);
   Result.OnList_ = [this](const std::vector<StoreObject> &Objects) {
     for (const StoreObject &Object : Objects)
-      applyConfig(Object);
+      applyConfig(Object, getConfigReadTime());
   };
   Result.OnChange_ = [this](const StoreChange &Change) {
     if (!Change.IsRemoved_)
-      applyConfig(Change.Object_);
+      applyConfig(Change.Object_, getConfigReadTime());
   };
   Result.OnNewEra_ = [this] { onNewEra(ConfigFollower_); };
   Result.IsPutOff_ = [this] { return ServerFollower_.isUnavailable(); };
@@ -275,7 +275,7 @@
   Handlers_.OnStoreRolledBack_();
 }
 
-void StoreView::applyConfig(const StoreObject &Object) {
+void StoreView::applyConfig(const StoreObject &Object, Time AsOf) {
   if (Object.Name_ != platform::MainConfigName)
     return;
   Reason Why;
@@ -306,15 +306,15 @@
               {"routes", static_cast<uint64_t>(Next->Routes_.size())}});
   Config_ = Next;
   ConfigObject_ = Object;
-  Handlers_.OnConfig_(Next);
+  Handlers_.OnConfig_(Next, AsOf);
 }
 
-bool StoreView::applyRelayed(const std::string &Page, Reason &Why) {
+bool StoreView::applyRelayed(const std::string &Page, Time AsOf, Reason &Why) {
   std::optional<platform::StorePage> Decoded = platform::decodePage(Page, Why);
   uint64_t Before = getVersion();
   if (Decoded)
     for (const StoreObject &Object : Decoded->Objects_)
-      applyConfig(Object);
+      applyConfig(Object, AsOf);
   return getVersion() > Before;
 }
 
--- a/src/steering/store_view_base.h
+++ b/src/steering/store_view_base.h
@@ -21,8 +21,9 @@
 
 /// Callbacks of a view to its owner.
 struct StoreViewHandlers {
-  /// Called when a version of the configuration takes effect.
-  std::function<void(const RoutingConfigPtr &)> OnConfig_;
+  /// Called when a version of the configuration takes effect, with the time at
+  /// which the store was known to hold nothing newer.
+  std::function<void(const RoutingConfigPtr &, Time AsOf)> OnConfig_;
   /// Called when the usable servers have changed.
   std::function<void()> OnServers_;
   /// Called after a failure that may require traffic to move.
@@ -86,9 +87,10 @@
   uint64_t getVersion() const { return Config_ ? Config_->Version_ : 0; }
 
   /// Applies a page of the configuration that another VM has in force.
+  /// \param AsOf Time at which the store was known to hold nothing newer.
   /// \param[out] Why Set if the page can't be read.
   /// \return Whether a newer version has taken effect.
-  bool applyRelayed(const std::string &Page, Reason &Why);
+  bool applyRelayed(const std::string &Page, Time AsOf, Reason &Why);
 
   /// \return The configuration in force, for applyRelayed() at another VM;
   /// empty without one.
@@ -110,7 +112,11 @@
   FollowHandlers makeConfigHandlers();
   FollowHandlers makeServerHandlers();
   FollowHandlers makeEvacuationHandlers();
-  void applyConfig(const StoreObject &Object);
+  void applyConfig(const StoreObject &Object, Time AsOf);
+  Time getConfigReadTime() const {
+    Time Now = getNow();
+    return Now - ConfigFollower_.getAge(Now);
+  }
   void applyServerList(const std::vector<StoreObject> &Objects);
   void applyServerChange(const platform::StoreChange &Change);
   void applyEvacuations();
--- a/test/unit/peer_version_test.cpp
+++ b/test/unit/peer_version_test.cpp
@@ -90,9 +90,13 @@
   Versions.setInForce(5, Start);
   CHECK(Versions.getLastConfirmation() == Start);
   Time Later = Start + seconds(3);
-  Versions.recordReport(4, Later);
+  Versions.recordConfirmation(4, Later);
+  Versions.recordConfirmation(6, Later);
   CHECK(Versions.getLastConfirmation() == Start);
-  Versions.recordReport(5, Later);
+  Versions.recordConfirmation(5, Later);
+  CHECK(Versions.getLastConfirmation() == Later);
+  // An older one says nothing more.
+  Versions.recordConfirmation(5, Start);
   CHECK(Versions.getLastConfirmation() == Later);
   CHECK(Versions.startPoll(Later));
   Time Due = Later + PeerVersionTracker::FetchInterval;
@@ -102,13 +106,63 @@
   Versions.recordReport(6, Later);
   CHECK(Versions.startFetch(6, Due));
   // A VM that is behind as well confirms nothing.
-  Versions.recordReport(5, Due);
+  Versions.recordConfirmation(5, Due);
   CHECK(Versions.getLastConfirmation() == Later);
   Versions.recordUnavailable(6);
-  Versions.recordReport(5, Due);
+  Versions.recordConfirmation(5, Due);
   CHECK(Versions.getLastConfirmation() == Due);
 }
 
+TEST_CASE("peer version: a report and an answer confirm nothing") {
+  PeerVersionTracker Versions;
+  CHECK(Versions.getLastConfirmation() == PeerVersionTracker::Never);
+  CHECK(Versions.getLastAnswer() == PeerVersionTracker::Never);
+  Versions.setInForce(5, Start);
+  Time Later = Start + seconds(3);
+  Versions.recordReport(5, Later);
+  Versions.recordAnswer(4, Later);
+  CHECK(Versions.getLastAnswer() == PeerVersionTracker::Never);
+  Versions.recordAnswer(5, Later);
+  Versions.recordAnswer(5, Start);
+  CHECK(Versions.getLastAnswer() == Later);
+  CHECK(Versions.getLastConfirmation() == Start);
+  // Who had the version before says nothing of the next one.
+  Versions.setInForce(6, Start + seconds(1));
+  CHECK(Versions.getLastAnswer() == PeerVersionTracker::Never);
+  CHECK(Versions.getLastConfirmation() == Start + seconds(1));
+}
+
+TEST_CASE("peer version: VMs that ask each other don't renew what the store "
+          "confirmed") {
+  PeerVersionTracker One;
+  PeerVersionTracker Two;
+  One.setInForce(5, Start);
+  Two.setInForce(5, Start + seconds(1));
+  constexpr Duration OneWay = milliseconds(40);
+  for (Time Now = Start + seconds(2); Now < Start + seconds(20);
+       Now += seconds(1)) {
+    One.recordConfirmation(5, Now - (Now + OneWay - Two.getLastConfirmation()));
+    Two.recordConfirmation(5, Now - (Now + OneWay - One.getLastConfirmation()));
+  }
+  CHECK(One.getLastConfirmation() == Start + seconds(1) - OneWay);
+  CHECK(Two.getLastConfirmation() == Start + seconds(1));
+}
+
+TEST_CASE("peer version: a newer version is known until it is in force, or its "
+          "VM responds without it") {
+  PeerVersionTracker Versions;
+  Versions.setInForce(5, Start);
+  CHECK_FALSE(Versions.isNewerKnown());
+  Versions.recordReport(6, Start);
+  CHECK(Versions.isNewerKnown());
+  Versions.recordUnavailable(6);
+  CHECK_FALSE(Versions.isNewerKnown());
+  Versions.recordReport(7, Start);
+  CHECK(Versions.isNewerKnown());
+  Versions.setInForce(7, Start);
+  CHECK_FALSE(Versions.isNewerKnown());
+}
+
 TEST_CASE("peer version: a version is overdue until it is in force, or its VM "
           "responds without it") {
   constexpr Duration Limit = seconds(2);
--- a/test/unit/store_source_test.cpp
+++ b/test/unit/store_source_test.cpp
@@ -299,7 +299,7 @@
 
   StoreViewHandlers makeHandlers() {
     StoreViewHandlers Result;
-    Result.OnConfig_ = [](const RoutingConfigPtr &) {};
+    Result.OnConfig_ = [](const RoutingConfigPtr &, Time) {};
     Result.OnServers_ = [] {};
     Result.OnFailure_ = [] {};
     Result.OnStoreRolledBack_ = [] {};
@@ -428,7 +428,7 @@
   Config.ServerDrain_ = seconds(2);
   unsigned Applied = 0;
   StoreViewHandlers Handlers;
-  Handlers.OnConfig_ = [](const RoutingConfigPtr &) {};
+  Handlers.OnConfig_ = [](const RoutingConfigPtr &, Time) {};
   Handlers.OnServers_ = [&Applied] { ++Applied; };
   Handlers.OnFailure_ = [] {};
   Handlers.OnStoreRolledBack_ = [] {};
