--- a/test/process/outdated_homes_test.cpp
+++ b/test/process/outdated_homes_test.cpp
@@ -1,6 +1,8 @@
 /// \file outdated_homes_test.cpp Home regions on entry VMs that miss a version.
 #include "test/support/steering_fixture_base.h"
 
+#include <csignal>
+
 using namespace cranberry;
 using namespace cranberry::standin;
 using cranberry::test::SteeringFixture;
@@ -167,3 +169,30 @@
     CHECK(F.countInNorth(Ok, Vm) == 0);
   }
 }
+
+TEST_CASE("homes: a fleet that loses a VM while the store is away refuses "
+          "requests with homes") {
+  CutFixture F;
+  for (size_t Vm = 0; Vm < F.Fleet_.getVmCount(); ++Vm)
+    F.Fleet_.vm(Vm).StoreLink_->setMode(LinkMode::Silent);
+  for (int I = 0; I < 2; ++I)
+    SteeringFixture::waitForPropagation();
+  CHECK(F.countInNorth(Ok) == 5);
+  F.Fleet_.vm(2).Process_->signal(SIGKILL);
+  SteeringFixture::waitForPropagation();
+  for (size_t Vm = 0; Vm < CutFixture::CutCount; ++Vm) {
+    CHECK(F.countInNorth(Unavailable, Vm) == 0);
+    CHECK(F.getStatus("/read/x", Vm) == Ok);
+  }
+}
+
+TEST_CASE("homes: a VM that has left isn't missed while the store is away") {
+  CutFixture F;
+  for (size_t Vm = 0; Vm < F.Fleet_.getVmCount(); ++Vm)
+    F.Fleet_.vm(Vm).StoreLink_->setMode(LinkMode::Silent);
+  F.Fleet_.vm(2).Process_->signal(SIGTERM);
+  CHECK(F.Fleet_.vm(2).Process_->wait() == 0);
+  SteeringFixture::waitForPropagation();
+  for (size_t Vm = 0; Vm < CutFixture::CutCount; ++Vm)
+    CHECK(F.countInNorth(Ok, Vm) == 5);
+}
