--- a/test/unit/store_source_test.cpp
+++ b/test/unit/store_source_test.cpp
@@ -9,6 +9,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <random>
 #include <set>
@@ -254,6 +255,57 @@
 }
 
 // Guards against zones that change their reader with each late heartbeat.
+namespace {
+
+/// Simulates the VMs of one zone, of which one can read the store and is none
+/// that the others ask.
+/// \return Time from the refusal of the others until that one calls the store.
+Duration findAbleVm(uint64_t FirstSeed) {
+  constexpr size_t Count = 24;
+  const Duration MaxTime = seconds(60);
+  Fleet Vms(Count, 1);
+  std::vector<size_t> Asked = Vms.getReaders("zone-0");
+  size_t Able = 0;
+  while (std::find(Asked.begin(), Asked.end(), Able) != Asked.end())
+    ++Able;
+  std::vector<StoreSourceSelector> Selectors;
+  std::vector<StoreSourceStatus> Status(Count);
+  std::map<std::string, size_t> ByPeer;
+  for (size_t I = 0; I < Count; ++I) {
+    Selectors.emplace_back(FirstSeed + I);
+    ByPeer[Vms.getVm(I).PeerAddress_] = I;
+  }
+  Time Start{seconds(1000)};
+  for (Time Now = Start; Now - Start < MaxTime;
+       Now += StoreSourceSelector::Period)
+    for (size_t I = 0; I < Count; ++I)
+      // A VM asks the next one as soon as it has an answer.
+      for (size_t Asks = 0; Asks < Count; ++Asks) {
+        StoreSourceTarget Target =
+            Selectors[I].select(Vms.getMembers(), Vms.getVm(I), Status[I], Now);
+        if (Target.Source_ == StoreSource::Store && I == Able)
+          return Now - Start;
+        Status[I] = {Target.Source_, Target.Peer_,
+                     Target.Source_ == StoreSource::Store};
+        if (Target.Source_ != StoreSource::Vm)
+          break;
+        Selectors[ByPeer.at(Target.Peer_)].recordRequest(Now);
+        Selectors[I].recordFailure(Target.Peer_, true, Now);
+      }
+  return MaxTime;
+}
+
+} // namespace
+
+TEST_CASE("store source: the only VM of a zone that can read the store is "
+          "found soon") {
+  constexpr unsigned Seeds = 20;
+  for (unsigned I = 0; I < Seeds; ++I) {
+    CAPTURE(I);
+    CHECK(toMilliseconds(findAbleVm(Seed + 100 * I)) <= 2500);
+  }
+}
+
 TEST_CASE("store source: a source that answers is kept while others suspect "
           "it") {
   Fleet Vms(20, 2);
