Fix: [Store] Each VM tries the store once if nobody is known to have read it

Cause: a VM whose readers are refused asks four others, then draws attempts at the store at random, one a second for a zone. A VM that the store serves, and that no other one asks, found out by luck. All the others took the version that each of them had for confirmed.

Now the age of the confirmation, which is passed on with heartbeats, tells each VM that nobody has read the store. Between 0.6 and 0.75 of the bound each VM tries the store once; who succeeds reports the new version, and the others fetch it. One attempt for each time without a confirmation, so a store that is away costs one call a VM.

It passes the age and the bound to the selector now, which had no such inputs; its limit is the same.

--- a/src/process/store_source_selector.cpp
+++ b/src/process/store_source_selector.cpp
@@ -2,6 +2,8 @@
 /// time.
 #include "process/store_source_selector_base.h"
 
+#include "core/duration_func.h"
+
 #include <algorithm>
 
 namespace cranberry {
@@ -36,8 +38,19 @@
 /// tries the store again. Each attempt takes up to a second without updates.
 constexpr Duration FallbackDuration = seconds(10);
 
+/// Share of the bound after which each VM tries the store once if nobody is
+/// known to have read it. The store may serve VMs that no other one asks.
+constexpr double AttemptAgeShare = 0.6;
+
+/// Share of the bound over which these attempts are spread.
+constexpr double AttemptWindowShare = 0.15;
+
 } // namespace
 
+StoreSourceSelector::StoreSourceSelector(uint64_t Seed)
+    : Random_(Seed), AttemptDelayShare_(std::uniform_real_distribution<>(
+                         0, AttemptWindowShare)(Random_)) {}
+
 void StoreSourceSelector::recordFailure(const std::string &Peer, bool IsBehind,
                                         Time Now) {
   if (IsBehind) {
@@ -70,6 +83,13 @@
     for (Member &Vm : Members)
       if (Vm.PeerAddress_ == Status.Peer_ && Vm.State_ == MemberState::Suspect)
         Vm.State_ = MemberState::Alive;
+  if (Status.Source_ == StoreSource::Store)
+    LastAttempt_ = Now;
+  if (isAttemptDue(Status, Now)) {
+    LastAttempt_ = Now;
+    FallbackUntil_ = Time();
+    WantedUntil_ = Now + ProbeDuration;
+  }
   StoreSourceChoice Choice = selectSource(Members, Self, Now);
   // Some VMs may be able to read the store although the readers can't.
   bool CanRead =
@@ -105,6 +125,14 @@
   return selectStoreSource(Members, Self, IsStoreLost, Failed);
 }
 
+bool StoreSourceSelector::isAttemptDue(const StoreSourceStatus &Status,
+                                       Time Now) const {
+  // One attempt for each time that nobody was known to have read the store.
+  return Bound_ > Duration(0) && LastAttempt_ < Now - Status.ConfirmationAge_ &&
+         Status.ConfirmationAge_ >=
+             scaleDuration(Bound_, AttemptAgeShare + AttemptDelayShare_);
+}
+
 bool StoreSourceSelector::drawProbe(const MemberList &Members,
                                     const Member &Self) {
   auto InZone = static_cast<double>(
--- a/src/process/store_source_selector_base.h
+++ b/src/process/store_source_selector_base.h
@@ -17,6 +17,9 @@
   StoreSource Source_ = StoreSource::None; ///< Kind of the source.
   std::string Peer_; ///< Peer address of the VM that is followed.
   bool IsStoreUnavailable_ = false; ///< Whether the last read has failed.
+  /// Time since the store is known to have held no newer configuration, by this
+  /// VM's own source or by what others tell.
+  Duration ConfirmationAge_{0};
 };
 
 /// Source of store updates to use from now on.
@@ -35,7 +38,11 @@
   static constexpr Duration Period = milliseconds(200);
 
   /// \param Seed Seed of the attempts at the store that are drawn at random.
-  explicit StoreSourceSelector(uint64_t Seed) : Random_(Seed) {}
+  explicit StoreSourceSelector(uint64_t Seed);
+
+  /// \param Bound Time within which a configuration has to be in force on all
+  /// VMs.
+  void setBound(Duration Bound) { Bound_ = Bound; }
 
   /// Records that a VM failed as a source.
   /// \param Peer Its peer address.
@@ -57,6 +64,7 @@
   StoreSourceChoice selectSource(const MemberList &Members, const Member &Self,
                                  Time Now) const;
   bool drawProbe(const MemberList &Members, const Member &Self);
+  bool isAttemptDue(const StoreSourceStatus &Status, Time Now) const;
 
   std::map<std::string, Time>
       Silent_; ///< VMs that gave no answer, by peer address, and until when
@@ -67,9 +75,13 @@
                                  ///< than the zone's readers.
   Time LastStoreReadTime_;       ///< When the store was last the source and
                                  ///< could be read.
+  Time LastAttempt_;             ///< When the store was last the source.
   Time WantedUntil_;             ///< Reads the store until then.
   Time FallbackUntil_;           ///< Until then, follows any other VM.
   std::mt19937_64 Random_;       ///< Draws attempts at the store.
+  Duration Bound_{0};            ///< See setBound(); zero for none.
+  double AttemptDelayShare_;     ///< Share of the bound by which this VM's own
+                                 ///< attempt is later than the first ones.
 };
 
 } // namespace cranberry
--- a/src/steering/steering_vm.cpp
+++ b/src/steering/steering_vm.cpp
@@ -80,6 +80,7 @@
     Router_.liftShiftLimit();
   Quotas_.applySettings(Settings_);
   Configs_.setBound(Settings_.ConfigPropagation_);
+  Sources_.setBound(Settings_.ConfigPropagation_);
   Peers_.setRequestHandler(
       [this](const IngressExchangePtr &E) { handlePeerRequest(E); });
   Peers_.setVersionHandler([this](const VersionReport &Report) {
@@ -295,9 +296,14 @@
 }
 
 void SteeringVm::updateReader() {
-  if (IsReading_)
-    View_.setSource(Sources_.select(Peers_.getMembers(), Peers_.getSelf(),
-                                    View_.getSourceStatus(), getNow()));
+  if (!IsReading_)
+    return;
+  Time Now = getNow();
+  StoreSourceStatus Status = View_.getSourceStatus();
+  if (View_.isComplete())
+    Status.ConfirmationAge_ = Configs_.getConfirmationAge(Now);
+  View_.setSource(
+      Sources_.select(Peers_.getMembers(), Peers_.getSelf(), Status, Now));
 }
 
 void SteeringVm::reloadSettings() {
@@ -320,6 +326,7 @@
   Router_.applySettings();
   Quotas_.applySettings(Settings_);
   Configs_.setBound(Settings_.ConfigPropagation_);
+  Sources_.setBound(Settings_.ConfigPropagation_);
   Router_.setServers(View_.getRegistry(), Peers_.getMembers());
 }
 
--- a/test/unit/store_source_test.cpp
+++ b/test/unit/store_source_test.cpp
@@ -263,6 +263,7 @@
 Duration findAbleVm(uint64_t FirstSeed) {
   constexpr size_t Count = 24;
   const Duration MaxTime = seconds(60);
+  constexpr Duration Bound = milliseconds(2500);
   Fleet Vms(Count, 1);
   std::vector<size_t> Asked = Vms.getReaders("zone-0");
   size_t Able = 0;
@@ -273,6 +274,7 @@
   std::map<std::string, size_t> ByPeer;
   for (size_t I = 0; I < Count; ++I) {
     Selectors.emplace_back(FirstSeed + I);
+    Selectors.back().setBound(Bound);
     ByPeer[Vms.getVm(I).PeerAddress_] = I;
   }
   Time Start{seconds(1000)};
@@ -281,6 +283,7 @@
     for (size_t I = 0; I < Count; ++I)
       // A VM asks the next one as soon as it has an answer.
       for (size_t Asks = 0; Asks < Count; ++Asks) {
+        Status[I].ConfirmationAge_ = Now - Start;
         StoreSourceTarget Target =
             Selectors[I].select(Vms.getMembers(), Vms.getVm(I), Status[I], Now);
         if (Target.Source_ == StoreSource::Store && I == Able)
@@ -329,6 +332,62 @@
         Vms.getVm(Readers[1]).PeerAddress_);
 }
 
+TEST_CASE("store source: each VM tries the store once if nobody is known to "
+          "have read it") {
+  constexpr Duration Bound = seconds(4);
+  Fleet Vms(80);
+  Time Now{seconds(1000)};
+  Duration Earliest = Bound;
+  Duration Latest{0};
+  for (size_t I = 0; I < Vms.getCount(); ++I) {
+    const Member &Self = Vms.getVm(I);
+    std::vector<size_t> Readers = Vms.getReaders(Self.Zone_);
+    if (std::find(Readers.begin(), Readers.end(), I) != Readers.end())
+      continue;
+    StoreSourceSelector Selector(I);
+    Selector.setBound(Bound);
+    std::string Reader = Vms.getVm(Readers[0]).PeerAddress_;
+    StoreSourceStatus Status{StoreSource::Vm, Reader, false};
+    Duration Age{0};
+    for (; Age < Bound; Age += StoreSourceSelector::Period) {
+      Status.ConfirmationAge_ = Age;
+      if (Selector.select(Vms.getMembers(), Self, Status, Now + Age).Source_ ==
+          StoreSource::Store)
+        break;
+    }
+    REQUIRE(Age < Bound);
+    Earliest = std::min(Earliest, Age);
+    Latest = std::max(Latest, Age);
+    // The store refuses this VM, and others have read nothing either.
+    Time Failed = Now + Age;
+    Selector.select(Vms.getMembers(), Self, {StoreSource::Store, "", true},
+                    Failed);
+    for (; Age < 2 * Bound; Age += StoreSourceSelector::Period) {
+      Status.ConfirmationAge_ = Age;
+      CHECK(
+          Selector.select(Vms.getMembers(), Self, Status, Now + Age).Source_ ==
+          StoreSource::Vm);
+    }
+  }
+  CHECK(Earliest >= Bound / 2);
+  CHECK(Latest <= Bound * 4 / 5);
+  CHECK(Latest - Earliest >= StoreSourceSelector::Period * 2);
+}
+
+TEST_CASE("store source: a VM whose source is heard doesn't try the store") {
+  constexpr Duration Bound = seconds(4);
+  Fleet Vms(80);
+  const Member &Self = Vms.getVm(Vms.getReaders("zone-0")[3]);
+  std::string Reader = Vms.getVm(Vms.getReaders("zone-0")[0]).PeerAddress_;
+  StoreSourceSelector Selector(Seed);
+  Selector.setBound(Bound);
+  StoreSourceStatus Status{StoreSource::Vm, Reader, false, Bound / 2};
+  Time Now{seconds(1000)};
+  for (Time At = Now; At < Now + seconds(60); At += StoreSourceSelector::Period)
+    CHECK(Selector.select(Vms.getMembers(), Self, Status, At).Source_ ==
+          StoreSource::Vm);
+}
+
 namespace {
 
 /// Entry VM that reads through a StoreView and relays to others.
