Fix: [Configuration] Homes don't hold without the store until a version that one VM read has had time to spread

What callers saw: nothing yet; found while the refused fleet was traced. After 0.75 of the bound without a confirmation, a fleet without a missing VM counted its homes as confirmed at once, as if the store answered nobody.

Now that rule counts from 1.5 times the bound. In between requests with homes are refused (343), as with a missing VM. What that costs: while the store is away for longer than 0.75 of the bound, requests with homes are refused for 0.75 of the bound, once.

Evidence: `homes don't hold while a version*` fails without the factor.

--- a/src/process/home_confirmation.cpp
+++ b/src/process/home_confirmation.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// Multiple of the limit after which a version that any VM could read has been
+/// reported to all VMs.
+constexpr int SettleFactor = 2;
+
 /// A cut may have begun with the loss of these VMs.
 bool isOpen(Time Loss, Time Confirmed) {
   return Loss >= Confirmed - LossMargin;
@@ -21,9 +25,11 @@
 }
 
 bool doHomesHold(const HomeEvidence &Known, Time Now, Duration Limit) {
-  if (Now - Known.Confirmed_ < Limit)
+  Duration Age = Now - Known.Confirmed_;
+  if (Age < Limit)
     return true;
-  return Now - Known.Answered_ < Limit && !Known.IsNewerKnown_ &&
+  return Age >= SettleFactor * Limit && Now - Known.Answered_ < Limit &&
+         !Known.IsNewerKnown_ &&
          !(Known.LastLoss_ && isOpen(*Known.LastLoss_, Known.Confirmed_));
 }
 
--- a/src/process/home_confirmation_func.h
+++ b/src/process/home_confirmation_func.h
@@ -29,8 +29,9 @@
 size_t countLosses(const std::vector<Time> &Losses, Time Confirmed);
 
 /// \return Whether the homes in force are known to hold: the store held nothing
-/// newer less than \p Limit ago; or nobody can read the store, as all VMs of
-/// the fleet are in touch and none has heard of a newer version.
+/// newer less than \p Limit ago; or nobody can read the store for twice as
+/// long, as all VMs of the fleet are in touch and none has heard of a newer
+/// version.
 bool doHomesHold(const HomeEvidence &Known, Time Now, Duration Limit);
 
 } // namespace cranberry
--- a/test/unit/home_confirmation_test.cpp
+++ b/test/unit/home_confirmation_test.cpp
@@ -56,6 +56,16 @@
   CHECK_FALSE(doHomesHold(Known, Start + Limit, Limit));
 }
 
+TEST_CASE("homes don't hold while a version that one VM could read may be on "
+          "its way") {
+  HomeEvidence Known;
+  Known.Confirmed_ = Start;
+  Known.Answered_ = Start + 2 * Limit - milliseconds(1);
+  CHECK_FALSE(doHomesHold(Known, Start + Limit, Limit));
+  CHECK_FALSE(doHomesHold(Known, Known.Answered_, Limit));
+  CHECK(doHomesHold(Known, Start + 2 * Limit, Limit));
+}
+
 TEST_CASE("homes hold without the store as long as the whole fleet agrees") {
   HomeEvidence Known;
   Known.Confirmed_ = Start;
--- a/test/unit/store_source_test.cpp
+++ b/test/unit/store_source_test.cpp
@@ -374,6 +374,27 @@
   CHECK(Latest - Earliest >= StoreSourceSelector::Period * 2);
 }
 
+// Guards against a VM that an earlier outage keeps from trying the store.
+TEST_CASE("store source: a VM that failed tries the store again after others "
+          "have read it") {
+  constexpr Duration Bound = seconds(4);
+  Fleet Vms(80);
+  std::vector<size_t> Readers = Vms.getReaders("zone-0");
+  const Member &Self = Vms.getVm(Readers[3]);
+  StoreSourceSelector Selector(Seed);
+  Selector.setBound(Bound);
+  Time Now{seconds(1000)};
+  Selector.select(Vms.getMembers(), Self, {StoreSource::Store, "", true}, Now);
+  StoreSourceStatus Status{StoreSource::Vm, Vms.getVm(Readers[0]).PeerAddress_,
+                           false, Bound};
+  CHECK(
+      Selector.select(Vms.getMembers(), Self, Status, Now + Bound - seconds(1))
+          .Source_ == StoreSource::Vm);
+  CHECK(
+      Selector.select(Vms.getMembers(), Self, Status, Now + Bound + seconds(1))
+          .Source_ == StoreSource::Store);
+}
+
 TEST_CASE("store source: a VM whose source is heard doesn't try the store") {
   constexpr Duration Bound = seconds(4);
   Fleet Vms(80);
