Feature: [Observe] A look-up that names VMs of another region is logged

A metric counted them, but no line told which client's region and how many VMs the answering one knew.

--- a/src/steering/steering_vm_ports.cpp
+++ b/src/steering/steering_vm_ports.cpp
@@ -55,8 +55,13 @@
                                 : FleetKnowledge::Partial);
   bool IsEmpty = Selected.Addresses_.empty();
   Metrics_.countLookup(IsEmpty ? ResultCode::NoEntryVm : ResultCode::Ok);
-  if (Selected.HasOtherRegions_)
+  if (Selected.HasOtherRegions_) {
     Metrics_.countOtherRegionLookup();
+    Log_.write(getNow(), "lookup-other-region",
+               {{"zone", Question->Zone_},
+                {"region", Question->Region_},
+                {"known", static_cast<uint64_t>(Vms.size())}});
+  }
   if (IsEmpty)
     Exchange->respond(makeResponse(Unavailable, ""));
   else
