Fix: [Store] An attempt at the store isn't cut short by an earlier failure, and is repeated

A VM whose last read of the store had failed left it 200 ms after its attempt began, before a store in another region could respond. And a VM that had failed once in an outage didn't try again until somebody had read the store, so a store that begins to serve a few VMs in the middle of an outage was found by luck again.

Now an earlier failure doesn't count for 600 ms of an attempt, and a VM tries again after 10 s. Evidence: the new checks of `store source: a VM that failed*` and `store source: a VM tries the store again*`; the first fails without the guard.

--- a/src/process/store_source_selector.cpp
+++ b/src/process/store_source_selector.cpp
@@ -45,6 +45,10 @@
 /// Share of the bound over which these attempts are spread.
 constexpr double AttemptWindowShare = 0.15;
 
+/// Time that the store has to respond in such an attempt of a VM whose last
+/// read has failed.
+constexpr Duration AttemptDuration = milliseconds(600);
+
 } // namespace
 
 StoreSourceSelector::StoreSourceSelector(uint64_t Seed)
@@ -70,7 +74,8 @@
                                               const StoreSourceStatus &Status,
                                               Time Now) {
   if (Status.IsStoreUnavailable_) {
-    FallbackUntil_ = Now + FallbackDuration;
+    if (Now >= EarlierFailureUntil_)
+      FallbackUntil_ = Now + FallbackDuration;
   } else if (Status.Source_ == StoreSource::Store) {
     FallbackUntil_ = Time();
     LastStoreReadTime_ = Now;
@@ -87,6 +92,8 @@
     LastAttempt_ = Now;
   if (isAttemptDue(Status, Now)) {
     LastAttempt_ = Now;
+    if (Status.IsStoreUnavailable_)
+      EarlierFailureUntil_ = Now + AttemptDuration;
     FallbackUntil_ = Time();
     WantedUntil_ = Now + ProbeDuration;
   }
@@ -127,8 +134,8 @@
 
 bool StoreSourceSelector::isAttemptDue(const StoreSourceStatus &Status,
                                        Time Now) const {
-  // One attempt for each time that nobody was known to have read the store.
-  return Bound_ > Duration(0) && LastAttempt_ < Now - Status.ConfirmationAge_ &&
+  Duration Pause = std::min(Status.ConfirmationAge_, FallbackDuration);
+  return Bound_ > Duration(0) && Now - LastAttempt_ > Pause &&
          Status.ConfirmationAge_ >=
              scaleDuration(Bound_, AttemptAgeShare + AttemptDelayShare_);
 }
--- a/src/process/store_source_selector_base.h
+++ b/src/process/store_source_selector_base.h
@@ -75,7 +75,10 @@
                                  ///< than the zone's readers.
   Time LastStoreReadTime_;       ///< When the store was last the source and
                                  ///< could be read.
-  Time LastAttempt_;             ///< When the store was last the source.
+  Time LastAttempt_;             ///< When the store was last the source, or
+                                 ///< an attempt began.
+  Time EarlierFailureUntil_;     ///< Until then, a failed read is older than
+                                 ///< the attempt.
   Time WantedUntil_;             ///< Reads the store until then.
   Time FallbackUntil_;           ///< Until then, follows any other VM.
   std::mt19937_64 Random_;       ///< Draws attempts at the store.
--- a/test/unit/store_source_test.cpp
+++ b/test/unit/store_source_test.cpp
@@ -254,7 +254,6 @@
   CHECK_FALSE(Target.IsDirect_);
 }
 
-// Guards against zones that change their reader with each late heartbeat.
 namespace {
 
 /// Simulates the VMs of one zone, of which one can read the store and is none
@@ -309,6 +308,7 @@
   }
 }
 
+// Guards against zones that change their reader with each late heartbeat.
 TEST_CASE("store source: a source that answers is kept while others suspect "
           "it") {
   Fleet Vms(20, 2);
@@ -374,7 +374,6 @@
   CHECK(Latest - Earliest >= StoreSourceSelector::Period * 2);
 }
 
-// Guards against a VM that an earlier outage keeps from trying the store.
 TEST_CASE("store source: a VM that failed tries the store again after others "
           "have read it") {
   constexpr Duration Bound = seconds(4);
@@ -390,9 +389,36 @@
   CHECK(
       Selector.select(Vms.getMembers(), Self, Status, Now + Bound - seconds(1))
           .Source_ == StoreSource::Vm);
-  CHECK(
-      Selector.select(Vms.getMembers(), Self, Status, Now + Bound + seconds(1))
-          .Source_ == StoreSource::Store);
+  // The failure is still the last thing known of the store when the VM tries
+  // it.
+  Now += Bound + seconds(1);
+  Status.IsStoreUnavailable_ = true;
+  CHECK(Selector.select(Vms.getMembers(), Self, Status, Now).Source_ ==
+        StoreSource::Store);
+  Status.Source_ = StoreSource::Store;
+  CHECK(Selector.select(Vms.getMembers(), Self, Status, Now + milliseconds(400))
+            .Source_ == StoreSource::Store);
+  CHECK(Selector.select(Vms.getMembers(), Self, Status, Now + seconds(1))
+            .Source_ == StoreSource::Vm);
+}
+
+TEST_CASE("store source: a VM tries the store again in a long outage") {
+  constexpr Duration Bound = seconds(4);
+  Fleet Vms(80);
+  std::vector<size_t> Readers = Vms.getReaders("zone-0");
+  const Member &Self = Vms.getVm(Readers[3]);
+  StoreSourceSelector Selector(Seed);
+  Selector.setBound(Bound);
+  StoreSourceStatus Status{StoreSource::Vm, Vms.getVm(Readers[0]).PeerAddress_,
+                           false, seconds(60)};
+  Time Now{seconds(1000)};
+  int Attempts = 0;
+  for (Time At = Now; At < Now + seconds(35); At += seconds(5))
+    Attempts += Selector.select(Vms.getMembers(), Self, Status, At).Source_ ==
+                        StoreSource::Store
+                    ? 1
+                    : 0;
+  CHECK(Attempts == 3);
 }
 
 TEST_CASE("store source: a VM whose source is heard doesn't try the store") {
