Fix: [Configuration] A configuration of unknown age waits before a fleet without the store trusts its homes

A configuration that was fetched from a VM that tells no age counted as unconfirmed for 10000 h, and so passed the wait of 1.5 times the bound at once. The wait starts at the earliest when the configuration came into force now.

The test of VMs that are cut off together checked after 2.5 s only, which lies within that wait; it checks again after 5 s, so that the loss of a VM decides.

--- a/src/process/home_confirmation.cpp
+++ b/src/process/home_confirmation.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Multiple of the limit after which a version that any VM could read has been
-/// reported to all VMs.
+/// Multiple of the limit after which a version that one VM could read in its
+/// attempt at the store has had time to reach all VMs.
 constexpr int SettleFactor = 2;
 
 /// A cut may have begun with the loss of these VMs.
@@ -25,11 +25,11 @@
 }
 
 bool doHomesHold(const HomeEvidence &Known, Time Now, Duration Limit) {
-  Duration Age = Now - Known.Confirmed_;
-  if (Age < Limit)
+  if (Now - Known.Confirmed_ < Limit)
     return true;
-  return Age >= SettleFactor * Limit && Now - Known.Answered_ < Limit &&
-         !Known.IsNewerKnown_ &&
+  Time SettlingSince = std::max(Known.Confirmed_, Known.InForceSince_);
+  return Now - SettlingSince >= SettleFactor * Limit &&
+         Now - Known.Answered_ < Limit && !Known.IsNewerKnown_ &&
          !(Known.LastLoss_ && isOpen(*Known.LastLoss_, Known.Confirmed_));
 }
 
--- a/src/process/home_confirmation_func.h
+++ b/src/process/home_confirmation_func.h
@@ -13,6 +13,7 @@
 struct HomeEvidence {
   /// Last time at which the store was known to hold nothing newer.
   Time Confirmed_;
+  Time InForceSince_; ///< When the configuration came into force here.
   /// When the last call was sent to which another VM with the same version has
   /// responded.
   Time Answered_;
--- a/src/steering/config_exchange.cpp
+++ b/src/steering/config_exchange.cpp
@@ -105,8 +105,9 @@
 }
 
 bool ConfigExchange::areHomesConfirmed(Time Now) const {
-  return doHomesHold({Now - getConfirmationAge(Now), Versions_.getLastAnswer(),
-                      Versions_.isNewerKnown(), LastLoss_},
+  return doHomesHold({Now - getConfirmationAge(Now), InForceSince_,
+                      Versions_.getLastAnswer(), Versions_.isNewerKnown(),
+                      LastLoss_},
                      Now, scaleDuration(Bound_, MaxUnconfirmedShare));
 }
 
--- a/src/steering/config_exchange_base.h
+++ b/src/steering/config_exchange_base.h
@@ -32,6 +32,7 @@
   /// \param AsOf Time at which the store was known to hold nothing newer.
   void setInForce(uint64_t Version, Time AsOf) {
     Versions_.setInForce(Version, AsOf);
+    InForceSince_ = getNow();
   }
 
   /// \param Losses Times at which VMs that are missing were lost.
@@ -94,6 +95,7 @@
   HttpClient Client_;              ///< Connections to other VMs.
   uint64_t AppliedCount_ = 0;      ///< See getAppliedCount().
   Duration Bound_{0};              ///< See setBound().
+  Time InForceSince_;              ///< When the version came into force.
   std::vector<Time> Losses_;       ///< See setLosses().
   std::optional<Time> LastLoss_;   ///< Last one of them.
   bool WereHomesConfirmed_ = true; ///< As last logged.
--- a/test/process/outdated_homes_test.cpp
+++ b/test/process/outdated_homes_test.cpp
@@ -157,10 +157,12 @@
     CHECK(F.countInNorth(Ok, Vm) == 5);
   F.setCut(true);
   F.setHome("south");
-  SteeringFixture::waitForPropagation();
-  for (size_t Vm = 0; Vm < CutFixture::CutCount; ++Vm) {
-    CHECK(F.countInNorth(Unavailable, Vm) == 0);
-    CHECK(F.getStatus("/read/x", Vm) == Ok);
+  for (int I = 0; I < 2; ++I) {
+    SteeringFixture::waitForPropagation();
+    for (size_t Vm = 0; Vm < CutFixture::CutCount; ++Vm) {
+      CHECK(F.countInNorth(Unavailable, Vm) == 0);
+      CHECK(F.getStatus("/read/x", Vm) == Ok);
+    }
   }
   F.setCut(false);
   for (size_t Vm = 0; Vm < CutFixture::CutCount; ++Vm) {
--- a/test/unit/home_confirmation_test.cpp
+++ b/test/unit/home_confirmation_test.cpp
@@ -64,6 +64,12 @@
   CHECK_FALSE(doHomesHold(Known, Start + Limit, Limit));
   CHECK_FALSE(doHomesHold(Known, Known.Answered_, Limit));
   CHECK(doHomesHold(Known, Start + 2 * Limit, Limit));
+
+  HomeEvidence Fetched = Known; // From a VM that doesn't tell the age.
+  Fetched.Confirmed_ = PeerVersionTracker::Never;
+  Fetched.InForceSince_ = Start;
+  CHECK_FALSE(doHomesHold(Fetched, Known.Answered_, Limit));
+  CHECK(doHomesHold(Fetched, Start + 2 * Limit, Limit));
 }
 
 TEST_CASE("homes hold without the store as long as the whole fleet agrees") {
